--- /dev/null
+++ b/internal/control/host/peers.go
@@ -0,0 +1,50 @@
+package host
+
+import (
+	"crypto/subtle"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"redwinglock/internal/control/catalog"
+	"redwinglock/internal/control/member"
+	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/common"
+)
+
+// peerHandler serves the other entry hosts.
+func peerHandler(c *common.Common, arbiters *front.Server, members *member.Controller, follower *catalog.Follower) http.Handler {
+	router := gin.New()
+	router.Use(gin.Recovery(), requirePeer(c))
+	router.POST(wire.LinkPath, arbiters.ServeLink)
+	router.POST(wire.HeartbeatPath, func(c *gin.Context) {
+		var h member.Heartbeat
+		if err := c.ShouldBindJSON(&h); err != nil {
+			c.Status(http.StatusBadRequest)
+			return
+		}
+		c.JSON(http.StatusOK, members.Answer(h))
+	})
+	router.GET(wire.ConfigPath, func(c *gin.Context) {
+		state := follower.State()
+		if state == nil {
+			c.Status(http.StatusNotFound)
+			return
+		}
+		c.JSON(http.StatusOK, state)
+	})
+	return router
+}
+
+// requirePeer admits processes that know the shared key.
+func requirePeer(c *common.Common) gin.HandlerFunc {
+	want := []byte(c.Settings.Peers.Key)
+	return func(g *gin.Context) {
+		got := []byte(g.GetHeader(wire.KeyHeader))
+		if subtle.ConstantTimeCompare(got, want) != 1 {
+			c.Metrics.Counter("peer_unauthorized").Inc(1)
+			g.AbortWithStatus(http.StatusUnauthorized)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/member/controller.go
@@ -0,0 +1,288 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/platform/hosts"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
+)
+
+// Transport sends a heartbeat to a peer and returns its answer.
+type Transport interface {
+	Send(ctx context.Context, peerURL string, h Heartbeat) (Heartbeat, error)
+}
+
+// Lister returns the platform's list of hosts.
+type Lister interface {
+	List(ctx context.Context) ([]hosts.Group, error)
+}
+
+// Nudger is told of peers with a newer configuration.
+type Nudger interface {
+	Nudge(revision object.Revision, peerURL string)
+}
+
+// Controller runs the membership of this process.
+type Controller struct {
+	common    *common.Common
+	log       *logrus.Entry
+	board     *board.Board
+	transport Transport
+	lister    Lister
+	nudger    Nudger
+
+	mu    sync.Mutex
+	table *Table
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// NewController creates a controller and starts it.
+func NewController(c *common.Common, b *board.Board, transport Transport, lister Lister, nudger Nudger) *Controller {
+	ctx, stop := context.WithCancel(context.Background())
+	m := &Controller{
+		common:    c,
+		log:       c.Log("members"),
+		board:     b,
+		transport: transport,
+		lister:    lister,
+		nudger:    nudger,
+		table:     NewTable(b.Members().Self, uint64(time.Now().UnixMilli())),
+		stop:      stop,
+	}
+	m.done.Add(2)
+	go m.heartbeat(ctx)
+	go m.readList(ctx)
+	return m
+}
+
+// Close stops the heartbeats and waits for them.
+func (m *Controller) Close() error {
+	m.stop()
+	m.done.Wait()
+	return nil
+}
+
+// Leave tells all live peers that this host is about to stop.
+func (m *Controller) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.table.Leave()
+	m.mu.Unlock()
+	m.publish()
+	var sends sync.WaitGroup
+	for _, peer := range m.board.Members().Live {
+		if peer.Name == m.board.Members().Self.Name {
+			continue
+		}
+		sends.Go(func() { m.probe(ctx, peer) })
+	}
+	sends.Wait()
+}
+
+// heartbeat sends to a few random peers in each interval, and at once when there is a
+// new configuration.
+func (m *Controller) heartbeat(ctx context.Context) {
+	defer m.done.Done()
+	interval := m.common.Settings.Peers.HeartbeatInterval
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	revision := m.revision()
+	for {
+		changed := m.board.Changed()
+		if current := m.revision(); current != revision {
+			revision = current
+			m.round(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+			m.round(ctx)
+			m.expire(interval)
+		}
+	}
+}
+
+func (m *Controller) round(ctx context.Context) {
+	m.mu.Lock()
+	targets := m.table.Targets()
+	m.mu.Unlock()
+	var sends sync.WaitGroup
+	for _, target := range targets {
+		sends.Go(func() { m.probe(ctx, target) })
+	}
+	sends.Wait()
+}
+
+func (m *Controller) probe(ctx context.Context, target board.Member) {
+	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval)
+	defer cancel()
+	m.mu.Lock()
+	h := m.table.Compose(target.Name, m.revision())
+	m.mu.Unlock()
+	answer, err := m.transport.Send(ctx, target.PeerURL, h)
+	m.mu.Lock()
+	if err != nil {
+		m.table.Fail(time.Now(), target.Name)
+	} else {
+		m.table.Receive(time.Now(), answer)
+	}
+	m.mu.Unlock()
+	if err == nil {
+		m.nudger.Nudge(answer.Revision, target.PeerURL)
+	}
+	m.publish()
+}
+
+// Answer takes the heartbeat of a peer and returns this host's.
+func (m *Controller) Answer(h Heartbeat) Heartbeat {
+	m.mu.Lock()
+	m.table.Receive(time.Now(), h)
+	answer := m.table.Compose(h.From.Member.Name, m.revision())
+	m.mu.Unlock()
+	m.nudger.Nudge(h.Revision, h.From.Member.PeerURL)
+	m.publish()
+	return answer
+}
+
+func (m *Controller) expire(interval time.Duration) {
+	m.mu.Lock()
+	m.table.Expire(time.Now(), interval)
+	m.mu.Unlock()
+	m.publish()
+}
+
+// publish writes the view to the board if it has changed.
+func (m *Controller) publish() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	view := m.table.View()
+	former := m.board.Members()
+	if slices.Equal(former.Live, view.Live) {
+		return
+	}
+	m.log.WithField("live", len(view.Live)).Info("Members changed.")
+	m.board.SetMembers(view)
+}
+
+func (m *Controller) revision() object.Revision {
+	if config := m.board.Config(); config != nil {
+		return config.Revision
+	}
+	return 0
+}
+
+// readList reads the platform's list of hosts at intervals.
+func (m *Controller) readList(ctx context.Context) {
+	defer m.done.Done()
+	ticker := time.NewTicker(m.common.Settings.Hosts.Interval)
+	defer ticker.Stop()
+	for {
+		groups, err := m.lister.List(ctx)
+		if err == nil {
+			m.takeList(groups)
+		} else if ctx.Err() == nil {
+			m.common.CountRetry("host-list")
+			m.log.WithError(err).Warn("List of hosts not read.")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Controller) takeList(groups []hosts.Group) {
+	var entries []board.Member
+	leaving := map[object.TargetName]bool{}
+	for _, group := range groups {
+		name := group.Labels[hosts.LabelName]
+		isLeaving := group.Labels[hosts.LabelState] == hosts.StateLeaving
+		switch group.Labels[hosts.LabelRole] {
+		case hosts.RoleEntry:
+			entries = append(entries, board.Member{
+				Name:      name,
+				Zone:      object.Zone(group.Labels[hosts.LabelZone]),
+				PeerURL:   group.Labels[hosts.LabelPeerURL],
+				CallerURL: group.Labels[hosts.LabelCallerURL],
+				Leaving:   isLeaving,
+			})
+		case hosts.RoleTarget:
+			if isLeaving {
+				leaving[object.TargetName(name)] = true
+			}
+		}
+	}
+	m.mu.Lock()
+	m.table.List(time.Now(), entries)
+	m.mu.Unlock()
+	m.publish()
+	if !sameTargets(m.board.Hosts().LeavingTargets, leaving) {
+		m.log.WithField("leaving", len(leaving)).Info("Leaving targets changed.")
+		m.board.SetHosts(&board.Hosts{LeavingTargets: leaving})
+	}
+}
+
+func sameTargets(a, b map[object.TargetName]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name := range a {
+		if !b[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// HTTPTransport sends heartbeats as JSON over HTTP.
+type HTTPTransport struct {
+	Client *http.Client
+	Key    string
+}
+
+// maxHeartbeatBytes bounds a heartbeat.
+const maxHeartbeatBytes = 256 << 10
+
+// Send implements Transport.
+func (t *HTTPTransport) Send(ctx context.Context, peerURL string, h Heartbeat) (Heartbeat, error) {
+	content, err := json.Marshal(h)
+	if err != nil {
+		return Heartbeat{}, fmt.Errorf("encode heartbeat: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, peerURL+wire.HeartbeatPath, bytes.NewReader(content))
+	if err != nil {
+		return Heartbeat{}, fmt.Errorf("send heartbeat: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(wire.KeyHeader, t.Key)
+	response, err := t.Client.Do(request)
+	if err != nil {
+		return Heartbeat{}, fmt.Errorf("send heartbeat: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Heartbeat{}, fmt.Errorf("send heartbeat: status %d", response.StatusCode)
+	}
+	var answer Heartbeat
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxHeartbeatBytes)).Decode(&answer); err != nil {
+		return Heartbeat{}, fmt.Errorf("decode heartbeat: %w", err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/control/member/table.go
@@ -0,0 +1,268 @@
+// Package member keeps the view of live entry hosts. Each host sends heartbeats to a
+// constant number of random peers; news about members travel with them, so the load of
+// a host does not grow with their number. The platform's list of hosts only seeds the view.
+package member
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/object"
+)
+
+// Status is what is believed about a member.
+type Status string
+
+// The states of a member, from the least to the most certain at equal incarnations.
+const (
+	Listed  Status = "listed" // Known from the list of hosts only.
+	Alive   Status = "alive"
+	Leaving Status = "leaving"
+	Suspect Status = "suspect"
+	Dead    Status = "dead"
+)
+
+func (s Status) rank() int {
+	return slices.Index([]Status{Listed, Alive, Leaving, Suspect, Dead}, s)
+}
+
+const (
+	// probesPerRound is the number of peers that get a heartbeat in each interval.
+	probesPerRound = 2
+	// maxFailures is the number of failed heartbeats in a row that make a member suspect.
+	maxFailures = 2
+	// suspectRounds is the number of intervals after which a suspect is taken for dead.
+	suspectRounds = 4
+	// maxRumours bounds the news in one heartbeat.
+	maxRumours = 6
+	// retransmitFactor times the logarithm of the number of members is how often each
+	// piece of news is sent.
+	retransmitFactor = 3
+	// deadRounds is the number of intervals between heartbeats to a dead member that is
+	// still listed.
+	deadRounds = 10
+)
+
+// Rumour is one piece of news about a member.
+type Rumour struct {
+	Member      board.Member `json:"member"`
+	Status      Status       `json:"status"`
+	Incarnation uint64       `json:"incarnation"`
+}
+
+// Heartbeat is a message between two members, and also its answer.
+type Heartbeat struct {
+	From     Rumour          `json:"from"`
+	Revision object.Revision `json:"revision"`
+	Rumours  []Rumour        `json:"rumours,omitempty"`
+}
+
+// entry is what the table knows about one member.
+type entry struct {
+	Rumour
+	failures  int
+	changedAt time.Time
+	sends     int // How often the latest news may still be sent.
+	listed    bool
+}
+
+// Table is the view of one host. It is not safe for concurrent use and does no I/O.
+type Table struct {
+	self    Rumour
+	entries map[string]*entry
+	order   []string // Names in the random order in which they get heartbeats.
+	round   int
+}
+
+// NewTable creates a table. The incarnation must grow from run to run of a host.
+func NewTable(self board.Member, incarnation uint64) *Table {
+	return &Table{
+		self:    Rumour{Member: self, Status: Alive, Incarnation: incarnation},
+		entries: map[string]*entry{},
+	}
+}
+
+// Leave announces that this host is about to stop.
+func (t *Table) Leave() {
+	t.self.Incarnation++
+	t.self.Status = Leaving
+	t.self.Member.Leaving = true
+}
+
+// List takes the platform's list of hosts. A listed host is not live before it has
+// answered a heartbeat. A host that is no longer listed stays while it answers.
+func (t *Table) List(now time.Time, members []board.Member) {
+	for _, e := range t.entries {
+		e.listed = false
+	}
+	for _, m := range members {
+		if m.Name == t.self.Member.Name {
+			continue
+		}
+		e := t.entries[m.Name]
+		if e == nil {
+			e = &entry{Rumour: Rumour{Member: m, Status: Listed}, changedAt: now}
+			t.entries[m.Name] = e
+		}
+		e.listed = true
+	}
+	for name, e := range t.entries {
+		if !e.listed && (e.Status == Dead || e.Status == Listed) {
+			delete(t.entries, name)
+		}
+	}
+}
+
+// Targets returns the members that get a heartbeat in this round.
+func (t *Table) Targets() []board.Member {
+	t.round++
+	var targets []board.Member
+	for range len(t.entries) + probesPerRound {
+		if len(targets) == probesPerRound {
+			break
+		}
+		if len(t.order) == 0 {
+			t.reshuffle()
+			if len(t.order) == 0 {
+				break
+			}
+		}
+		name := t.order[0]
+		t.order = t.order[1:]
+		e := t.entries[name]
+		if e == nil || slices.ContainsFunc(targets, func(m board.Member) bool { return m.Name == name }) {
+			continue
+		}
+		if e.Status == Dead && (!e.listed || t.round%deadRounds != 0) {
+			continue
+		}
+		targets = append(targets, e.Member)
+	}
+	return targets
+}
+
+func (t *Table) reshuffle() {
+	for name := range t.entries {
+		t.order = append(t.order, name)
+	}
+	slices.Sort(t.order)
+	rand.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+}
+
+// Compose returns the heartbeat for a member. If the member is not believed alive it is
+// told so, and can prove otherwise.
+func (t *Table) Compose(to string, revision object.Revision) Heartbeat {
+	h := Heartbeat{From: t.self, Revision: revision}
+	if e := t.entries[to]; e != nil && (e.Status == Suspect || e.Status == Dead) {
+		h.Rumours = append(h.Rumours, e.Rumour)
+	}
+	var fresh []*entry
+	for _, e := range t.entries {
+		if e.sends > 0 && e.Member.Name != to {
+			fresh = append(fresh, e)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *entry) int {
+		if a.sends != b.sends {
+			return b.sends - a.sends
+		}
+		return strings.Compare(a.Member.Name, b.Member.Name)
+	})
+	for _, e := range fresh[:min(len(fresh), maxRumours)] {
+		e.sends--
+		h.Rumours = append(h.Rumours, e.Rumour)
+	}
+	return h
+}
+
+// Receive takes a heartbeat or its answer: the sender is alive, and its news count.
+func (t *Table) Receive(now time.Time, h Heartbeat) {
+	t.apply(now, h.From)
+	if e := t.entries[h.From.Member.Name]; e != nil {
+		e.failures = 0
+	}
+	for _, r := range h.Rumours {
+		t.apply(now, r)
+	}
+}
+
+// apply takes one piece of news unless what is known is newer.
+func (t *Table) apply(now time.Time, r Rumour) {
+	if r.Member.Name == t.self.Member.Name {
+		t.refute(r)
+		return
+	}
+	e := t.entries[r.Member.Name]
+	if e == nil {
+		if r.Status == Dead {
+			return
+		}
+		e = &entry{Rumour: Rumour{Status: Listed}}
+		t.entries[r.Member.Name] = e
+	}
+	newer := r.Incarnation > e.Incarnation ||
+		(r.Incarnation == e.Incarnation && r.Status.rank() > e.Status.rank())
+	if !newer {
+		return
+	}
+	t.set(now, e, r)
+}
+
+func (t *Table) set(now time.Time, e *entry, r Rumour) {
+	e.Rumour = r
+	e.Member.Leaving = r.Status == Leaving || r.Member.Leaving
+	e.changedAt = now
+	e.failures = 0
+	e.sends = retransmitFactor * bits.Len(uint(len(t.entries)+1))
+}
+
+// refute answers news that this host is suspect or dead with a higher incarnation.
+func (t *Table) refute(r Rumour) {
+	if r.Incarnation >= t.self.Incarnation && r.Status != t.self.Status {
+		t.self.Incarnation = r.Incarnation + 1
+	}
+}
+
+// Fail records that a member did not answer a heartbeat.
+func (t *Table) Fail(now time.Time, name string) {
+	e := t.entries[name]
+	if e == nil || e.Status == Dead || e.Status == Suspect || e.Status == Listed {
+		return
+	}
+	e.failures++
+	if e.failures >= maxFailures {
+		r := e.Rumour
+		r.Status = Suspect
+		t.set(now, e, r)
+	}
+}
+
+// Expire takes suspects for dead that have not proved otherwise in time.
+func (t *Table) Expire(now time.Time, interval time.Duration) {
+	for _, e := range t.entries {
+		if e.Status == Suspect && now.Sub(e.changedAt) >= suspectRounds*interval {
+			r := e.Rumour
+			r.Status = Dead
+			t.set(now, e, r)
+		}
+	}
+}
+
+// View returns the live members, this host included, sorted by name. Suspects are live
+// until they are taken for dead.
+func (t *Table) View() *board.Members {
+	view := &board.Members{Self: t.self.Member, Live: []board.Member{t.self.Member}}
+	for _, e := range t.entries {
+		switch e.Status {
+		case Alive, Leaving, Suspect:
+			view.Live = append(view.Live, e.Member)
+		case Listed, Dead:
+		}
+	}
+	slices.SortFunc(view.Live, func(a, b board.Member) int { return strings.Compare(a.Name, b.Name) })
+	return view
+}
--- /dev/null
+++ b/internal/peer/arbiter/client.go
@@ -0,0 +1,226 @@
+// Package arbiter speaks to the arbiters of pools on behalf of a front: it registers
+// requests, waits for grants and keeps requests registered while arbiters come and go.
+package arbiter
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+const (
+	// suspicion is how long an arbiter is avoided after its link has failed.
+	suspicion = 2 * time.Second
+	// unusedRetryAfter is the retry hint when no arbiter has decided.
+	unusedRetryAfter = time.Second
+)
+
+// Client holds the tickets of all requests of this front.
+type Client struct {
+	common  *common.Common
+	log     *logrus.Entry
+	board   *board.Board
+	local   *front.Server
+	http    *http.Client
+	tickets sync.Map // wire.RequestID to *Ticket.
+
+	mu       sync.RWMutex
+	links    map[string]link // By URL of the peer listener.
+	suspects map[string]time.Time
+
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// New creates a client. The local server is used for pools that this process arbitrates.
+func New(c *common.Common, b *board.Board, local *front.Server, peers *http.Client) *Client {
+	ctx, stop := context.WithCancel(context.Background())
+	client := &Client{
+		common:   c,
+		log:      c.Log("front"),
+		board:    b,
+		local:    local,
+		http:     peers,
+		links:    map[string]link{},
+		suspects: map[string]time.Time{},
+		ctx:      ctx,
+		stop:     stop,
+	}
+	client.done.Add(1)
+	go client.follow()
+	return client
+}
+
+// Close closes all links and waits for them.
+func (c *Client) Close() error {
+	c.stop()
+	c.mu.Lock()
+	for _, l := range c.links {
+		l.close()
+	}
+	c.mu.Unlock()
+	c.done.Wait()
+	c.http.CloseIdleConnections()
+	return nil
+}
+
+// Register creates a ticket and registers it with the arbiter of its pool.
+func (c *Client) Register(r wire.Register) *Ticket {
+	t := newTicket(c, r, time.Now())
+	l := c.linkFor(r.Pool)
+	first := t.current(t.createdAt, false)
+	t.mu.Lock()
+	t.link = l
+	c.tickets.Store(t.id, t)
+	l.send(wire.Up{Register: &first})
+	t.mu.Unlock()
+	// The link may have failed before the ticket could be found.
+	if l.failed() {
+		c.moveAll()
+	}
+	return t
+}
+
+// Wait returns the target that was granted. On an error the ticket has ended without
+// being dispatched.
+func (c *Client) Wait(ctx context.Context, t *Ticket) (object.TargetName, error) {
+	select {
+	case d := <-t.decision:
+		if d.Refuse != nil {
+			c.tickets.Delete(t.id)
+			after := time.Duration(d.Refuse.RetryAfterMS) * time.Millisecond
+			return "", outcome.Refuse(d.Refuse.Reason, after, "the pool cannot take the request now")
+		}
+		return d.Grant.Target, nil
+	case <-ctx.Done():
+		t.Finish(wire.Finish{})
+		if context.Cause(ctx) == context.DeadlineExceeded {
+			return "", outcome.Refuse(outcome.DeadlinePassed, unusedRetryAfter, "the deadline passed before a target was free")
+		}
+		return "", outcome.Refuse(outcome.CallerGone, 0, "the caller closed the connection")
+	}
+}
+
+// linkFor returns the link to the arbiter of a pool.
+func (c *Client) linkFor(pool object.PoolName) link {
+	members := c.board.Members()
+	owner := members.Owner(pool, c.usable)
+	if owner.Name == members.Self.Name {
+		owner.PeerURL = ""
+	}
+	c.mu.RLock()
+	l := c.links[owner.PeerURL]
+	c.mu.RUnlock()
+	if l != nil && !l.failed() {
+		return l
+	}
+	return c.openLink(owner)
+}
+
+func (c *Client) openLink(owner board.Member) link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.links[owner.PeerURL]; l != nil && !l.failed() {
+		return l
+	}
+	self := c.board.Members().Self.Run
+	var l link
+	if owner.PeerURL == "" {
+		l = newLocalLink(c, self)
+	} else {
+		l = newRemoteLink(c, self, owner)
+	}
+	c.links[owner.PeerURL] = l
+	return l
+}
+
+// usable reports whether no link to the member has failed lately.
+func (c *Client) usable(m board.Member) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	until, suspected := c.suspects[m.PeerURL]
+	return !suspected || time.Now().After(until)
+}
+
+// linkFailed avoids the arbiter for a while and moves its requests elsewhere.
+func (c *Client) linkFailed(peerURL string, err error) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.log.WithField("arbiter", peerURL).WithError(err).Warn("Link lost.")
+	c.common.CountRetry("arbiter-lost")
+	c.mu.Lock()
+	c.suspects[peerURL] = time.Now().Add(suspicion)
+	c.mu.Unlock()
+	c.moveAll()
+}
+
+// follow moves requests when the owner of their pool has changed.
+func (c *Client) follow() {
+	defer c.done.Done()
+	recheck := time.NewTicker(suspicion)
+	defer recheck.Stop()
+	for {
+		changed := c.board.Changed()
+		c.moveAll()
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-changed:
+		case <-recheck.C:
+		}
+	}
+}
+
+// moveAll registers each ticket with the current arbiter of its pool.
+func (c *Client) moveAll() {
+	c.tickets.Range(func(_, value any) bool {
+		t := value.(*Ticket)
+		t.move(c.linkFor(t.registration.Pool))
+		return c.ctx.Err() == nil
+	})
+}
+
+// receive handles one message of an arbiter.
+func (c *Client) receive(from link, message wire.Down) {
+	switch {
+	case message.Grant != nil:
+		c.receiveGrant(from, message.Grant)
+	case message.Refuse != nil:
+		if t := c.ticket(message.Refuse.ID); t != nil {
+			t.refuse(from, message.Refuse)
+		}
+	case message.Cancel != nil:
+		if t := c.ticket(message.Cancel.ID); t != nil {
+			t.cancel(from)
+		}
+	}
+}
+
+// receiveGrant passes a grant to its ticket. A grant that is not used needs no answer:
+// the withdrawal that went out on the same link frees its slot.
+func (c *Client) receiveGrant(from link, g *wire.Grant) {
+	t := c.ticket(g.ID)
+	if t == nil || !t.grant(from, g) {
+		c.common.Metrics.Counter("grants_unused").Inc(1)
+	}
+}
+
+func (c *Client) ticket(id wire.RequestID) *Ticket {
+	value, ok := c.tickets.Load(id)
+	if !ok {
+		return nil
+	}
+	return value.(*Ticket)
+}
--- /dev/null
+++ b/internal/peer/arbiter/link.go
@@ -0,0 +1,153 @@
+package arbiter
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+)
+
+// link carries messages to one arbiter and decisions back. It does not reconnect: a
+// failed link is replaced by a new one.
+type link interface {
+	send(wire.Up)
+	failed() bool
+	close()
+}
+
+// newLocalLink connects a client with the server of the same process. Both directions
+// are queues, because either side may send while it holds a lock.
+func newLocalLink(c *Client, self wire.HostID) link {
+	up := wire.NewOutbox[wire.Up]()
+	down := wire.NewOutbox[wire.Down]()
+	l := &memoryLink{up: up, down: down}
+	session := c.local.Attach(self, down)
+	c.done.Add(2)
+	go func() {
+		defer c.done.Done()
+		pump(up, session.Handle)
+		_ = session.Close()
+	}()
+	go func() {
+		defer c.done.Done()
+		pump(down, func(message wire.Down) { c.receive(l, message) })
+	}()
+	return l
+}
+
+// pump passes the messages of an outbox to handle until it is closed.
+func pump[T any](box *wire.Outbox[T], handle func(T)) {
+	for {
+		batch, open := box.Take()
+		if !open {
+			return
+		}
+		for _, message := range batch {
+			handle(message)
+		}
+		<-box.Wake()
+	}
+}
+
+// memoryLink is a link within the process.
+type memoryLink struct {
+	up     *wire.Outbox[wire.Up]
+	down   *wire.Outbox[wire.Down]
+	closed atomic.Bool
+}
+
+func (l *memoryLink) send(message wire.Up) { l.up.Send(message) }
+func (l *memoryLink) failed() bool         { return l.closed.Load() }
+
+func (l *memoryLink) close() {
+	l.closed.Store(true)
+	l.up.Close()
+}
+
+// remoteLink leads to another process over one HTTP/2 stream.
+type remoteLink struct {
+	client *Client
+	owner  board.Member
+	box    *wire.Outbox[wire.Up]
+	broken atomic.Bool
+	cancel context.CancelFunc
+}
+
+func newRemoteLink(c *Client, self wire.HostID, owner board.Member) link {
+	ctx, cancel := context.WithCancel(c.ctx)
+	l := &remoteLink{client: c, owner: owner, box: wire.NewOutbox[wire.Up](), cancel: cancel}
+	c.done.Add(1)
+	go func() {
+		defer c.done.Done()
+		err := l.run(ctx, self)
+		l.broken.Store(true)
+		l.box.Close()
+		cancel()
+		c.linkFailed(owner.PeerURL, err)
+	}()
+	return l
+}
+
+func (l *remoteLink) send(message wire.Up) { l.box.Send(message) }
+func (l *remoteLink) failed() bool         { return l.broken.Load() }
+func (l *remoteLink) close()               { l.cancel() }
+
+// run opens the stream and serves it until it fails.
+func (l *remoteLink) run(ctx context.Context, self wire.HostID) error {
+	peers := l.client.common.Settings.Peers
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	body, writer := io.Pipe()
+	defer body.Close()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, l.owner.PeerURL+wire.LinkPath, body)
+	if err != nil {
+		return fmt.Errorf("open link: %w", err)
+	}
+	request.Header.Set(wire.KeyHeader, peers.Key)
+	request.Header.Set(wire.HostHeader, string(self))
+
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = wire.WriteLoop(writer, func() {}, l.box, peers.HeartbeatInterval, ctx.Done())
+		_ = writer.Close()
+	}()
+	defer func() {
+		cancel()
+		body.Close()
+		<-written
+	}()
+	response, err := l.client.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("open link: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("open link: status %d", response.StatusCode)
+	}
+	return wire.ReadLoop(response.Body, peers.HeartbeatTimeout, cancel, func(message wire.Down) {
+		l.client.receive(l, message)
+	})
+}
+
+// NewHTTPClient creates a client for other entry hosts. It multiplexes streams over
+// HTTP/2, also without TLS.
+func NewHTTPClient(c *common.Common, config *tls.Config) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP2(true)
+	dialer := &net.Dialer{Timeout: c.Settings.Peers.HeartbeatTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:           dialer.DialContext,
+		TLSClientConfig:       config,
+		Protocols:             protocols,
+		ResponseHeaderTimeout: c.Settings.Peers.HeartbeatTimeout,
+	}}
+}
--- /dev/null
+++ b/internal/peer/arbiter/ticket.go
@@ -0,0 +1,179 @@
+package arbiter
+
+import (
+	"sync"
+	"time"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+)
+
+// phase is the state of a ticket.
+type phase int
+
+const (
+	waiting phase = iota
+	granted       // The arbiter has named a target; nothing was sent to it yet.
+	dispatched
+	ended
+)
+
+// Ticket is one request on its way through an arbiter. Its phase is the only guard
+// of the promise that a request is dispatched at most once: whatever an arbiter sends,
+// and how often, Dispatch succeeds once.
+type Ticket struct {
+	client *Client
+	id     wire.RequestID
+
+	mu           sync.Mutex
+	phase        phase
+	registration wire.Register
+	createdAt    time.Time
+	deadline     time.Time
+	target       object.TargetName
+	link         link
+
+	decision chan wire.Down // Holds the grant or refusal.
+	preempt  chan struct{}  // Closed when the arbiter cancels the request.
+}
+
+func newTicket(c *Client, r wire.Register, now time.Time) *Ticket {
+	t := &Ticket{
+		client:       c,
+		id:           r.ID,
+		registration: r,
+		createdAt:    now,
+		decision:     make(chan wire.Down, 1),
+		preempt:      make(chan struct{}),
+	}
+	if r.DeadlineMS > 0 {
+		t.deadline = now.Add(time.Duration(r.DeadlineMS) * time.Millisecond)
+	}
+	return t
+}
+
+// ID returns the id of the request.
+func (t *Ticket) ID() wire.RequestID { return t.id }
+
+// Preempted is closed when the arbiter wants the request stopped.
+func (t *Ticket) Preempted() <-chan struct{} { return t.preempt }
+
+// Dispatch moves the ticket from granted to dispatched. It returns false if the grant
+// is no longer valid; then nothing may be sent to the target.
+func (t *Ticket) Dispatch() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase != granted {
+		return false
+	}
+	t.phase = dispatched
+	return true
+}
+
+// current returns the registration to send to an arbiter that does not know it.
+func (t *Ticket) current(now time.Time, moved bool) wire.Register {
+	r := t.registration
+	r.Moved = moved
+	r.WaitedMS = now.Sub(t.createdAt).Milliseconds()
+	if !t.deadline.IsZero() {
+		r.DeadlineMS = max(t.deadline.Sub(now).Milliseconds(), 1)
+	}
+	r.Phase = wire.Waiting
+	if t.phase == granted || t.phase == dispatched {
+		r.Phase = wire.Running
+		r.Target = t.target
+	}
+	return r
+}
+
+// grant takes a grant from a link and reports whether it is used. A grant from an
+// arbiter that the ticket has left is not, nor is a repeated one.
+func (t *Ticket) grant(from link, g *wire.Grant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.link != from || t.phase != waiting {
+		return false
+	}
+	t.phase = granted
+	t.target = g.Target
+	t.decision <- wire.Down{Grant: g}
+	return true
+}
+
+// refuse takes a refusal from a link. Only a waiting request can be refused.
+func (t *Ticket) refuse(from link, r *wire.Refuse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.link != from || t.phase != waiting {
+		return
+	}
+	t.phase = ended
+	t.decision <- wire.Down{Refuse: r}
+}
+
+// cancel takes a cancellation from a link.
+func (t *Ticket) cancel(from link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.link != from || t.phase == waiting || t.phase == ended {
+		return
+	}
+	select {
+	case <-t.preempt:
+	default:
+		close(t.preempt)
+	}
+}
+
+// Finish ends the ticket and tells the arbiter. It may be called more than once.
+func (t *Ticket) Finish(f wire.Finish) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase == ended {
+		return
+	}
+	f.ID = t.id
+	f.Pool = t.registration.Pool
+	f.Dispatched = t.phase == dispatched
+	wasWaiting := t.phase == waiting
+	t.phase = ended
+	t.client.tickets.Delete(t.id)
+	if wasWaiting {
+		t.link.send(wire.Up{Withdraw: &wire.Withdraw{ID: t.id, Pool: f.Pool}})
+		return
+	}
+	t.link.send(wire.Up{Finish: &f})
+}
+
+// Unreachable returns a granted ticket to the queue because no connection to its
+// target could be opened. It must not be called after Dispatch.
+func (t *Ticket) Unreachable() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase != granted {
+		return
+	}
+	t.link.send(wire.Up{Finish: &wire.Finish{ID: t.id, Pool: t.registration.Pool, Unreachable: true}})
+	t.phase = waiting
+	t.target = ""
+	r := t.current(time.Now(), false)
+	t.link.send(wire.Up{Register: &r})
+}
+
+// move registers the ticket with another arbiter and takes it from the former one.
+func (t *Ticket) move(to link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.link == to || t.phase == ended {
+		return
+	}
+	pool := t.registration.Pool
+	if t.phase == waiting {
+		t.link.send(wire.Up{Withdraw: &wire.Withdraw{ID: t.id, Pool: pool}})
+	} else {
+		t.link.send(wire.Up{Finish: &wire.Finish{ID: t.id, Pool: pool}})
+	}
+	t.link = to
+	r := t.current(time.Now(), true)
+	to.send(wire.Up{Register: &r})
+}
--- /dev/null
+++ b/internal/peer/front/http.go
@@ -0,0 +1,39 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"redwinglock/internal/peer/wire"
+)
+
+// ServeLink serves the stream of one front until either side ends it.
+func (s *Server) ServeLink(c *gin.Context) {
+	control := http.NewResponseController(c.Writer)
+	// The stream lives as long as the front; the listener's time-outs are for requests.
+	_ = control.SetReadDeadline(time.Time{})
+	_ = control.SetWriteDeadline(time.Time{})
+	c.Status(http.StatusOK)
+	c.Writer.WriteHeaderNow()
+	c.Writer.Flush()
+
+	box := wire.NewOutbox[wire.Down]()
+	host := wire.HostID(c.GetHeader(wire.HostHeader))
+	session := s.Attach(host, box)
+	log := s.log.WithField("front", host)
+	log.Info("Front attached.")
+
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		peers := s.common.Settings.Peers
+		_ = wire.WriteLoop(c.Writer, c.Writer.Flush, box, peers.HeartbeatInterval, c.Request.Context().Done())
+	}()
+	onSilence := func() { _ = control.SetReadDeadline(time.Now()) }
+	err := wire.ReadLoop(c.Request.Body, s.common.Settings.Peers.HeartbeatTimeout, onSilence, session.Handle)
+	_ = session.Close()
+	<-written
+	log.WithError(err).Info("Front detached.")
+}
--- /dev/null
+++ b/internal/peer/front/server.go
@@ -0,0 +1,246 @@
+// Package front serves fronts: it takes their registrations, runs the shards of the
+// pools that this process arbitrates, and sends the decisions back.
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/shard"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
+)
+
+// tickInterval is the resolution of time-outs in a shard.
+const tickInterval = 10 * time.Millisecond
+
+// Server runs the shards of this process.
+type Server struct {
+	common *common.Common
+	log    *logrus.Entry
+	board  *board.Board
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+
+	mu      sync.RWMutex
+	workers map[object.PoolName]*worker
+}
+
+// New creates a server and starts its clock.
+func New(c *common.Common, b *board.Board) *Server {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Server{
+		common:  c,
+		log:     c.Log("arbiter"),
+		board:   b,
+		stop:    stop,
+		workers: map[object.PoolName]*worker{},
+	}
+	s.done.Add(2)
+	go s.tick(ctx)
+	go s.follow(ctx)
+	return s
+}
+
+// Close stops the clock of all shards and waits for it.
+func (s *Server) Close() error {
+	s.stop()
+	s.done.Wait()
+	return nil
+}
+
+func (s *Server) tick(ctx context.Context) {
+	defer s.done.Done()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, w := range s.all() {
+				w.tick(time.Now())
+			}
+		}
+	}
+}
+
+// follow applies each new configuration to all shards.
+func (s *Server) follow(ctx context.Context) {
+	defer s.done.Done()
+	for {
+		changed := s.board.Changed()
+		for _, w := range s.all() {
+			w.configure(s.board)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (s *Server) all() []*worker {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := make([]*worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		all = append(all, w)
+	}
+	return all
+}
+
+func (s *Server) worker(pool object.PoolName) *worker {
+	s.mu.RLock()
+	w := s.workers[pool]
+	s.mu.RUnlock()
+	if w != nil {
+		return w
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w := s.workers[pool]; w != nil {
+		return w
+	}
+	w = newWorker(s.common.Metrics.Tagged(map[string]string{"pool": string(pool)}), pool)
+	w.configure(s.board)
+	s.workers[pool] = w
+	s.log.WithField("pool", pool).Info("Shard opened.")
+	return w
+}
+
+// Session is one front's connection to the shards of this process.
+type Session struct {
+	server *Server
+	host   wire.HostID
+	box    *wire.Outbox[wire.Down]
+}
+
+// Attach opens a session for a front. Decisions are put into the outbox.
+func (s *Server) Attach(host wire.HostID, box *wire.Outbox[wire.Down]) *Session {
+	return &Session{server: s, host: host, box: box}
+}
+
+// Handle carries out one message of the front.
+func (s *Session) Handle(message wire.Up) {
+	now := time.Now()
+	switch {
+	case message.Register != nil:
+		s.server.worker(message.Register.Pool).register(now, s, *message.Register)
+	case message.Finish != nil:
+		s.server.worker(message.Finish.Pool).finish(now, s, *message.Finish)
+	case message.Withdraw != nil:
+		s.server.worker(message.Withdraw.Pool).withdraw(now, s, message.Withdraw.ID)
+	}
+}
+
+// Close ends the session. The front's requests are forgotten here: the front registers
+// them again, or its callers have gone with it.
+func (s *Session) Close() error {
+	now := time.Now()
+	for _, w := range s.server.all() {
+		w.drop(now, s)
+	}
+	s.box.Close()
+	return nil
+}
+
+// worker runs one shard and knows which session each request belongs to.
+type worker struct {
+	mu       sync.Mutex
+	shard    *shard.Shard
+	sessions map[wire.RequestID]*Session
+	metrics  tally.Scope
+}
+
+func newWorker(metrics tally.Scope, pool object.PoolName) *worker {
+	return &worker{shard: shard.New(pool), sessions: map[wire.RequestID]*Session{}, metrics: metrics}
+}
+
+func (w *worker) configure(b *board.Board) {
+	snapshot := b.Config()
+	if snapshot == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.carryOut(w.shard.Configure(time.Now(), snapshot, b.Hosts().LeavingTargets))
+}
+
+func (w *worker) register(now time.Time, s *Session, r wire.Register) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sessions[r.ID] = s
+	w.carryOut(w.shard.Register(now, r))
+}
+
+// finish ignores a session that the request no longer belongs to: the front has
+// registered it again over a newer one.
+func (w *worker) finish(now time.Time, s *Session, f wire.Finish) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sessions[f.ID] != s {
+		return
+	}
+	delete(w.sessions, f.ID)
+	w.carryOut(w.shard.Finish(now, f))
+}
+
+func (w *worker) withdraw(now time.Time, s *Session, id wire.RequestID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sessions[id] != s {
+		return
+	}
+	delete(w.sessions, id)
+	w.carryOut(w.shard.Withdraw(now, id))
+}
+
+func (w *worker) drop(now time.Time, s *Session) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, owner := range w.sessions {
+		if owner != s {
+			continue
+		}
+		delete(w.sessions, id)
+		w.carryOut(w.shard.Withdraw(now, id))
+	}
+}
+
+func (w *worker) tick(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.shard.Waiting() > 0 {
+		w.carryOut(w.shard.Tick(now))
+	}
+}
+
+// carryOut sends decisions to the fronts that hold the requests.
+func (w *worker) carryOut(decisions []shard.Decision) {
+	for _, decision := range decisions {
+		switch d := decision.(type) {
+		case shard.Grant:
+			w.metrics.Tagged(map[string]string{"tier": string(d.Tier)}).Timer("queue_delay").Record(d.Waited)
+			w.send(d.ID, wire.Down{Grant: &wire.Grant{ID: d.ID, Target: d.Target}})
+		case shard.Refuse:
+			w.send(d.ID, wire.Down{Refuse: &wire.Refuse{ID: d.ID, Reason: d.Reason, RetryAfterMS: d.RetryAfter.Milliseconds()}})
+			delete(w.sessions, d.ID)
+		case shard.Cancel:
+			w.send(d.ID, wire.Down{Cancel: &wire.Cancel{ID: d.ID}})
+		}
+	}
+}
+
+func (w *worker) send(id wire.RequestID, message wire.Down) {
+	if s := w.sessions[id]; s != nil {
+		s.box.Send(message)
+	}
+}
--- /dev/null
+++ b/internal/peer/wire/stream.go
@@ -0,0 +1,78 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Paths and headers of the protocol between entry hosts.
+const (
+	LinkPath      = "/peer/v1/link"
+	HeartbeatPath = "/peer/v1/heartbeat"
+	ConfigPath    = "/peer/v1/config"
+
+	// KeyHeader carries the key shared by all entry hosts.
+	KeyHeader = "X-Redwinglock-Peer-Key"
+	// HostHeader carries the HostID of the sender.
+	HostHeader = "X-Redwinglock-Host"
+
+	// MaxMessageBytes bounds one message.
+	MaxMessageBytes = 1 << 20
+)
+
+// WriteLoop writes the messages of an outbox as JSON lines until the outbox or done is
+// closed. Messages that wait together are flushed together. When idle for the interval,
+// it writes an empty message as heartbeat.
+func WriteLoop[T any](w io.Writer, flush func(), box *Outbox[T], interval time.Duration, done <-chan struct{}) error {
+	buffer := bufio.NewWriter(w)
+	encoder := json.NewEncoder(buffer)
+	heartbeat := time.NewTicker(interval)
+	defer heartbeat.Stop()
+	for {
+		batch, open := box.Take()
+		if !open {
+			return nil
+		}
+		for i := range batch {
+			if err := encoder.Encode(&batch[i]); err != nil {
+				return fmt.Errorf("write message: %w", err)
+			}
+		}
+		if err := buffer.Flush(); err != nil {
+			return fmt.Errorf("flush messages: %w", err)
+		}
+		flush()
+		select {
+		case <-done:
+			return nil
+		case <-box.Wake():
+		case <-heartbeat.C:
+			var empty T
+			box.Send(empty)
+		}
+	}
+}
+
+// ReadLoop passes each JSON line to handle until the stream ends. It calls onSilence
+// when nothing has arrived for the timeout, which must end the stream.
+func ReadLoop[T any](r io.Reader, timeout time.Duration, onSilence func(), handle func(T)) error {
+	silence := time.AfterFunc(timeout, onSilence)
+	defer silence.Stop()
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 4096), MaxMessageBytes)
+	for scanner.Scan() {
+		silence.Reset(timeout)
+		var message T
+		if err := json.Unmarshal(scanner.Bytes(), &message); err != nil {
+			return fmt.Errorf("read message: %w", err)
+		}
+		handle(message)
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("read messages: %w", err)
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/internal/peer/wire/wire.go
@@ -0,0 +1,104 @@
+// Package wire defines the messages between a front, which holds callers' requests,
+// and the arbiter of a pool, which decides their order and their targets. They travel as JSON lines on one stream in each direction.
+package wire
+
+import (
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+// HostID identifies one run of one process: a restart gets a new one.
+type HostID string
+
+// RequestID identifies a request across all hosts. Callers' own request ids are not
+// unique and are never used for matching.
+type RequestID string
+
+// PrefixHash is the hash of a leading part of a prompt.
+type PrefixHash uint64
+
+// Phase is the state of a request when a front registers it.
+type Phase string
+
+// The phases of a registered request.
+const (
+	Waiting Phase = "waiting"
+	Running Phase = "running"
+)
+
+// Register tells the arbiter about a request. A front sends it for a new request,
+// and again for each unfinished one when the arbiter of the pool has changed.
+type Register struct {
+	ID           RequestID          `json:"id"`
+	Pool         object.PoolName    `json:"pool"`
+	Account      object.AccountName `json:"account"`
+	Tier         object.TierName    `json:"tier"`
+	PromptTokens int                `json:"prompt-tokens"`
+	OutputTokens int                `json:"output-tokens"`
+	Prefixes     []PrefixHash       `json:"prefixes,omitempty"`
+	// DeadlineMS is the time left until the deadline of the caller, 0 if it has none.
+	DeadlineMS int64 `json:"deadline-ms,omitempty"`
+	// WaitedMS is how long the request has waited already.
+	WaitedMS int64 `json:"waited-ms,omitempty"`
+	Phase    Phase `json:"phase"`
+	// Target is where the request runs, set in phase running only.
+	Target object.TargetName `json:"target,omitempty"`
+	// Moved says that another arbiter knew the request before.
+	Moved bool `json:"moved,omitempty"`
+}
+
+// Finish tells the arbiter that a granted request has ended.
+type Finish struct {
+	ID   RequestID       `json:"id"`
+	Pool object.PoolName `json:"pool"`
+	// Dispatched is false if the grant was not used.
+	Dispatched bool `json:"dispatched"`
+	// Unreachable is true if no connection to the target could be opened.
+	Unreachable  bool  `json:"unreachable,omitempty"`
+	Completed    bool  `json:"completed,omitempty"`
+	PromptTokens int   `json:"prompt-tokens,omitempty"`
+	OutputTokens int   `json:"output-tokens,omitempty"`
+	FirstTokenMS int64 `json:"first-token-ms,omitempty"`
+	// DecodeUS is the mean time between tokens in microseconds.
+	DecodeUS int64 `json:"decode-us,omitempty"`
+}
+
+// Withdraw tells the arbiter that a waiting request is no longer wanted.
+type Withdraw struct {
+	ID   RequestID       `json:"id"`
+	Pool object.PoolName `json:"pool"`
+}
+
+// Grant permits the front to dispatch a request to a target.
+type Grant struct {
+	ID     RequestID         `json:"id"`
+	Target object.TargetName `json:"target"`
+}
+
+// Refuse tells the front that a waiting request will not be run.
+type Refuse struct {
+	ID           RequestID      `json:"id"`
+	Reason       outcome.Reason `json:"reason"`
+	RetryAfterMS int64          `json:"retry-after-ms"`
+}
+
+// Cancel tells the front to stop a running request in favour of a higher tier.
+type Cancel struct {
+	ID RequestID `json:"id"`
+}
+
+// Up is one message from a front to an arbiter; one field is set, or none for a
+// heartbeat.
+type Up struct {
+	Register *Register `json:"register,omitempty"`
+	Finish   *Finish   `json:"finish,omitempty"`
+	Withdraw *Withdraw `json:"withdraw,omitempty"`
+}
+
+// Down is one message from an arbiter to a front; one field is set, or none for a
+// heartbeat.
+type Down struct {
+	Grant  *Grant  `json:"grant,omitempty"`
+	Refuse *Refuse `json:"refuse,omitempty"`
+	Cancel *Cancel `json:"cancel,omitempty"`
+}
--- /dev/null
+++ b/internal/platform/hosts/hosts.go
@@ -0,0 +1,74 @@
+// Package hosts reads the platform's list of live and leaving hosts, in the published
+// form of the Prometheus HTTP service discovery.
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Labels of the list.
+const (
+	LabelRole      = "role" // "entry" or "target".
+	LabelName      = "name"
+	LabelZone      = "zone"
+	LabelState     = "state" // "live" or "leaving".
+	LabelPeerURL   = "peer-url"
+	LabelCallerURL = "caller-url"
+
+	RoleEntry    = "entry"
+	RoleTarget   = "target"
+	StateLive    = "live"
+	StateLeaving = "leaving"
+
+	maxListBytes = 16 << 20
+	readTimeout  = 2 * time.Second
+)
+
+// Group is one entry of the list.
+type Group struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Client reads the list.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// New creates a client for the list at the URL.
+func New(url string) *Client {
+	return &Client{url: url, http: &http.Client{Timeout: readTimeout}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() error {
+	c.http.CloseIdleConnections()
+	return nil
+}
+
+// List returns the current list.
+func (c *Client) List(ctx context.Context) ([]Group, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list hosts: status %d", response.StatusCode)
+	}
+	var groups []Group
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&groups); err != nil {
+		return nil, fmt.Errorf("decode list of hosts: %w", err)
+	}
+	return groups, nil
+}
--- /dev/null
+++ b/internal/pool/shard/overload.go
@@ -0,0 +1,153 @@
+package shard
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+const (
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// rateWindow is the time over which the drain rate is averaged.
+	rateWindow = 2 * time.Second
+)
+
+// drainRate is the rate at which the pool completes tokens.
+type drainRate struct {
+	since     time.Time
+	tokens    int64
+	perSecond float64
+}
+
+func (r *drainRate) add(now time.Time, tokens int64) {
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.tokens += tokens
+	elapsed := now.Sub(r.since)
+	if elapsed < rateWindow {
+		return
+	}
+	current := float64(r.tokens) / elapsed.Seconds()
+	if r.perSecond == 0 {
+		r.perSecond = current
+	}
+	r.perSecond = (r.perSecond + current) / 2
+	r.since = now
+	r.tokens = 0
+}
+
+// wait estimates the time to complete the given number of tokens, 0 if unknown.
+func (r *drainRate) wait(tokens int64) time.Duration {
+	if r.perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / r.perSecond * float64(time.Second))
+}
+
+// ahead estimates the tokens that are served before a waiting request: all higher
+// tiers, and within its tier what fair sharing lets pass.
+func (s *Shard) ahead(q *request) int64 {
+	var tokens int64
+	for _, tier := range s.tiers {
+		if tier == q.tier {
+			break
+		}
+		tokens += tier.queuedCost
+	}
+	own := float64(q.account.queuedCost-q.cost) * float64(q.tier.activeWeight) / float64(q.account.weight)
+	return tokens + min(int64(own), q.tier.queuedCost-q.cost)
+}
+
+// missesDeadline reports whether the request cannot be granted in time.
+func (s *Shard) missesDeadline(now time.Time, q *request) bool {
+	if !now.Before(q.giveUpAt) {
+		return true
+	}
+	return now.Add(s.rate.wait(s.ahead(q))).After(q.giveUpAt)
+}
+
+// retryAfter suggests when to come back: when the work ahead is likely to be done,
+// spread by up to half so that callers do not return together.
+func (s *Shard) retryAfter(q *request) time.Duration {
+	wait := min(max(s.rate.wait(s.ahead(q)), minRetryAfter), maxRetryAfter)
+	digest := fnv.New32a()
+	digest.Write([]byte(q.ID))
+	spread := time.Duration(digest.Sum32()%512) * wait / 1024
+	return wait + spread
+}
+
+// lowerRunning reports whether a request below the tier is running.
+func (s *Shard) lowerRunning(tier *tierQueue) bool {
+	for i := len(s.tiers) - 1; i >= 0 && s.tiers[i] != tier; i-- {
+		if len(s.tiers[i].running) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// preempt cancels one running lower-tier request for each waiting request that has
+// waited for longer than its tier allows, or that would otherwise be out of time.
+func (s *Shard) preempt(now time.Time) {
+	for _, tier := range s.tiers {
+		if tier.waiting == 0 || !s.lowerRunning(tier) {
+			continue
+		}
+		for _, a := range tier.active {
+			for _, q := range a.queue {
+				if !s.preemptFor(now, q) {
+					break
+				}
+			}
+		}
+	}
+}
+
+// preemptFor reports whether q was due for preemption.
+func (s *Shard) preemptFor(now time.Time, q *request) bool {
+	due := now.Sub(q.queuedAt) >= q.tier.preemptAfter || s.missesDeadline(now, q)
+	if !due {
+		return false
+	}
+	if q.preemptor {
+		return true
+	}
+	victim := s.victim(q.tier)
+	if victim == nil {
+		return false
+	}
+	q.preemptor = true
+	victim.cancelled = true
+	victim.tier.cancelling++
+	s.decisions = append(s.decisions, Cancel{victim.ID, victim.tier.name})
+	return true
+}
+
+// victim returns the running request of the lowest tier that was granted last, which
+// loses the least work. Requests that are being cancelled do not count.
+func (s *Shard) victim(above *tierQueue) *request {
+	for i := len(s.tiers) - 1; i >= 0 && s.tiers[i] != above; i-- {
+		tier := s.tiers[i]
+		if tier.cancelling == len(tier.running) {
+			continue
+		}
+		var best *request
+		for _, q := range tier.running {
+			if !q.cancelled && (best == nil || betterVictim(q, best)) {
+				best = q
+			}
+		}
+		return best
+	}
+	return nil
+}
+
+// betterVictim prefers requests whose slot can be used again to those on targets that
+// take no new work, then the one granted last.
+func betterVictim(a, b *request) bool {
+	if a.target.closed != b.target.closed {
+		return b.target.closed
+	}
+	return a.grantedAt.After(b.grantedAt)
+}
--- /dev/null
+++ b/internal/pool/shard/shard.go
@@ -0,0 +1,436 @@
+// Package shard decides for one pool which waiting request runs next and on which
+// target, which one is refused, and which running one is cancelled. It does no I/O and
+// starts no goroutine: the caller passes in events and the time and carries out the
+// decisions that are returned.
+package shard
+
+import (
+	"time"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+// Decision is one of Grant, Refuse and Cancel.
+type Decision interface {
+	sealed()
+}
+
+// Grant permits a waiting request to be dispatched to a target.
+type Grant struct {
+	ID     wire.RequestID
+	Target object.TargetName
+	Tier   object.TierName
+	Waited time.Duration
+}
+
+// Refuse ends a waiting request.
+type Refuse struct {
+	ID         wire.RequestID
+	Tier       object.TierName
+	Reason     outcome.Reason
+	RetryAfter time.Duration
+}
+
+// Cancel stops a running request so that a higher tier gets its slot.
+type Cancel struct {
+	ID   wire.RequestID
+	Tier object.TierName
+}
+
+func (Grant) sealed()  {}
+func (Refuse) sealed() {}
+func (Cancel) sealed() {}
+
+// request is one registered request.
+type request struct {
+	wire.Register
+	tier     *tierQueue
+	account  *accountQueue
+	cost     int64 // Estimated tokens, charged to the account when granted.
+	queuedAt time.Time
+	// giveUpAt is when the request is refused unless granted before.
+	giveUpAt time.Time
+	// preemptor is set once a running request was cancelled for this one.
+	preemptor bool
+
+	// Set while running.
+	target    *target
+	grantedAt time.Time
+	cancelled bool
+
+	queueIndex   int // Position in the queue of the account.
+	timerIndex   int // Position in the heap of give-up times.
+	runningIndex int // Position among the running requests of the tier.
+}
+
+// Shard holds the waiting and running requests of one pool. It is not safe for
+// concurrent use.
+type Shard struct {
+	pool       object.PoolName
+	queueLimit int
+	snapshot   *object.Snapshot
+
+	tiers    []*tierQueue // Highest priority first.
+	requests map[wire.RequestID]*request
+	timers   timerHeap
+	waiting  int
+
+	targets  map[object.TargetName]*target
+	ready    readyHeap
+	failed   []*target // Targets that wait for their next attempt.
+	prefixes *prefixMap
+	leaving  map[object.TargetName]bool
+	rate     drainRate
+	// comparedAt is when target speeds were last compared.
+	comparedAt time.Time
+
+	// warmUntil holds back grants while fronts register again after a change of arbiter.
+	warmUntil time.Time
+	decisions []Decision
+}
+
+// WarmUp is how long a new arbiter waits for fronts to register again.
+const WarmUp = 300 * time.Millisecond
+
+// New creates the shard of a pool.
+func New(pool object.PoolName) *Shard {
+	return &Shard{
+		pool:     pool,
+		requests: map[wire.RequestID]*request{},
+		targets:  map[object.TargetName]*target{},
+		prefixes: newPrefixMap(),
+	}
+}
+
+// Configure applies a snapshot and the set of targets that the platform reports as
+// leaving. It keeps all requests and what was learned about remaining targets.
+func (s *Shard) Configure(now time.Time, snapshot *object.Snapshot, leaving map[object.TargetName]bool) []Decision {
+	s.snapshot = snapshot
+	s.leaving = leaving
+	view := snapshot.Pool(s.pool)
+	if view == nil {
+		view = &object.PoolView{}
+	}
+	s.queueLimit = view.QueueLimit
+	s.configureTiers(snapshot)
+	s.configureTargets(view)
+	return s.step(now)
+}
+
+func (s *Shard) configureTargets(view *object.PoolView) {
+	wanted := make(map[object.TargetName]bool, len(view.Targets))
+	for _, spec := range view.Targets {
+		wanted[spec.Name] = true
+		t := s.targets[spec.Name]
+		if t == nil {
+			t = newTarget(spec, view.Type)
+			s.targets[spec.Name] = t
+		}
+		t.generation = spec.Generation
+		t.closed = spec.Drain || s.leaving[spec.Name]
+		s.ready.fix(t)
+	}
+	for name, t := range s.targets {
+		if wanted[name] {
+			continue
+		}
+		t.closed = true
+		s.ready.fix(t)
+		if t.inFlight == 0 {
+			delete(s.targets, name)
+		}
+	}
+}
+
+// Register adds a request, or learns again of one that another arbiter knew.
+func (s *Shard) Register(now time.Time, r wire.Register) []Decision {
+	if known := s.requests[r.ID]; known != nil {
+		s.registerAgain(known, r)
+		return s.step(now)
+	}
+	if r.Moved {
+		s.warm(now)
+	}
+	q := s.newRequest(now, r)
+	if r.Phase == wire.Running {
+		s.adopt(now, q)
+		return s.step(now)
+	}
+	s.admit(now, q)
+	return s.step(now)
+}
+
+// registerAgain handles a second registration. A front that registers a granted
+// request as waiting has lost the grant or could not use it.
+func (s *Shard) registerAgain(known *request, r wire.Register) {
+	if known.target == nil || r.Phase == wire.Running {
+		return
+	}
+	s.stopRunning(known)
+	s.enqueue(known)
+}
+
+// warm delays grants once, when the first request moves here from another arbiter.
+func (s *Shard) warm(now time.Time) {
+	if s.warmUntil.IsZero() && len(s.requests) == 0 {
+		s.warmUntil = now.Add(WarmUp)
+	}
+}
+
+func (s *Shard) newRequest(now time.Time, r wire.Register) *request {
+	tier := s.tierFor(r.Tier)
+	waited := time.Duration(r.WaitedMS) * time.Millisecond
+	q := &request{
+		Register: r,
+		tier:     tier,
+		account:  tier.account(r.Account, s.weight(r.Account)),
+		cost:     int64(r.PromptTokens + r.OutputTokens),
+		queuedAt: now.Add(-waited),
+	}
+	q.cost = max(q.cost, 1)
+	q.giveUpAt = q.queuedAt.Add(tier.queueTimeout)
+	if r.DeadlineMS > 0 {
+		deadline := now.Add(time.Duration(r.DeadlineMS) * time.Millisecond)
+		if deadline.Before(q.giveUpAt) {
+			q.giveUpAt = deadline
+		}
+	}
+	return q
+}
+
+func (s *Shard) weight(name object.AccountName) int64 {
+	if s.snapshot != nil {
+		if account := s.snapshot.Account(name); account != nil {
+			return int64(account.Weight)
+		}
+	}
+	return object.DefaultWeight
+}
+
+// adopt counts a request that is running already.
+func (s *Shard) adopt(now time.Time, q *request) {
+	t := s.targets[q.Target]
+	if t == nil {
+		// The target has left the configuration; count its work until it ends.
+		t = newTarget(&object.Target{Name: q.Target, Slots: object.DefaultSlots}, object.EnginePool)
+		t.closed = true
+		s.targets[q.Target] = t
+	}
+	s.requests[q.ID] = q
+	s.startRunning(now, q, t)
+}
+
+// admit queues a new request, or refuses it or one that ranks below it.
+func (s *Shard) admit(now time.Time, q *request) {
+	s.requests[q.ID] = q
+	s.enqueue(q)
+	if !s.anyOpen() {
+		s.refuse(q, outcome.NoTarget)
+		return
+	}
+	if s.missesDeadline(now, q) && !s.lowerRunning(q.tier) {
+		s.refuse(q, outcome.DeadlineUnreachable)
+		return
+	}
+	if s.waiting > s.queueLimit {
+		s.shedOne()
+	}
+}
+
+// shedOne refuses the waiting request that ranks last. While a lower tier still runs,
+// nothing is refused: preemption makes room instead.
+func (s *Shard) shedOne() {
+	for i := len(s.tiers) - 1; i >= 0; i-- {
+		tier := s.tiers[i]
+		if tier.waiting == 0 {
+			continue
+		}
+		if s.lowerRunning(tier) {
+			return
+		}
+		s.refuse(tier.lastOfLongest(), outcome.QueueFull)
+		return
+	}
+}
+
+// Finish ends a granted request and frees its slot.
+func (s *Shard) Finish(now time.Time, f wire.Finish) []Decision {
+	q := s.requests[f.ID]
+	if q == nil || q.target == nil {
+		return nil
+	}
+	t := q.target
+	s.stopRunning(q)
+	s.forget(q)
+	if f.Unreachable {
+		s.fail(now, t)
+	}
+	if f.Dispatched {
+		s.settle(now, q, t, f)
+	}
+	s.ready.fix(t)
+	return s.step(now)
+}
+
+// settle learns from a request that ran: speed of the target, size of the request.
+func (s *Shard) settle(now time.Time, q *request, t *target, f wire.Finish) {
+	actual := int64(f.PromptTokens + f.OutputTokens)
+	if actual > 0 {
+		q.account.charge(actual - q.cost)
+	}
+	s.rate.add(now, max(actual, 1))
+	if f.Completed {
+		t.observe(now, f)
+		s.compareTargets(now)
+	}
+}
+
+// Withdraw removes a waiting request.
+func (s *Shard) Withdraw(now time.Time, id wire.RequestID) []Decision {
+	q := s.requests[id]
+	if q == nil {
+		return nil
+	}
+	if q.target != nil {
+		s.stopRunning(q)
+	} else {
+		s.dequeue(q)
+	}
+	s.forget(q)
+	return s.step(now)
+}
+
+// Tick acts on the passing of time.
+func (s *Shard) Tick(now time.Time) []Decision { return s.step(now) }
+
+// Waiting returns the number of waiting requests.
+func (s *Shard) Waiting() int { return s.waiting }
+
+// Running returns the number of granted requests.
+func (s *Shard) Running() int { return len(s.requests) - s.waiting }
+
+// step grants what can be granted, gives up what has waited too long and preempts.
+func (s *Shard) step(now time.Time) []Decision {
+	if !now.Before(s.warmUntil) {
+		s.reopen(now)
+		s.grantAll(now)
+	}
+	s.expire(now)
+	s.preempt(now)
+	decisions := s.decisions
+	s.decisions = nil
+	return decisions
+}
+
+func (s *Shard) grantAll(now time.Time) {
+	for s.waiting > 0 {
+		q := s.next()
+		t := s.place(now, q)
+		if t == nil {
+			return
+		}
+		s.dequeue(q)
+		q.tier.floor = q.account.virtual
+		q.account.charge(q.cost)
+		q.tier.fixAccount(q.account)
+		s.startRunning(now, q, t)
+		s.prefixes.add(t, q.Prefixes)
+		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt)})
+	}
+}
+
+// next returns the waiting request that ranks first.
+func (s *Shard) next() *request {
+	for _, tier := range s.tiers {
+		if tier.waiting > 0 {
+			return tier.first()
+		}
+	}
+	return nil
+}
+
+// expire refuses waiting requests that are out of time. A request stays while
+// lower-tier work is still running, because its slot is about to be freed.
+func (s *Shard) expire(now time.Time) {
+	var held []*request
+	for len(s.timers) > 0 && !now.Before(s.timers[0].giveUpAt) {
+		q := s.timers[0]
+		if s.lowerRunning(q.tier) {
+			s.timers.remove(q)
+			held = append(held, q)
+			continue
+		}
+		s.refuse(q, outcome.QueueTimeout)
+	}
+	for _, q := range held {
+		q.giveUpAt = now.Add(holdTime)
+		q.preemptor = false
+		s.timers.push(q)
+	}
+}
+
+// holdTime is the interval at which a held request is looked at again.
+const holdTime = 20 * time.Millisecond
+
+// refuse ends a waiting request.
+func (s *Shard) refuse(q *request, reason outcome.Reason) {
+	retryAfter := s.retryAfter(q)
+	s.dequeue(q)
+	s.forget(q)
+	s.decisions = append(s.decisions, Refuse{q.ID, q.tier.name, reason, retryAfter})
+}
+
+func (s *Shard) forget(q *request) {
+	delete(s.requests, q.ID)
+	q.tier.release(q.account)
+}
+
+func (s *Shard) startRunning(now time.Time, q *request, t *target) {
+	q.target = t
+	q.grantedAt = now
+	q.tier.addRunning(q)
+	t.start(q.cost)
+	s.ready.fix(t)
+}
+
+func (s *Shard) stopRunning(q *request) {
+	t := q.target
+	t.stop(q.cost)
+	q.tier.removeRunning(q)
+	q.target = nil
+	q.cancelled = false
+	s.ready.fix(t)
+	if t.closed && t.inFlight == 0 && s.snapshotTarget(t.name) == nil {
+		delete(s.targets, t.name)
+	}
+}
+
+func (s *Shard) snapshotTarget(name object.TargetName) *object.Target {
+	if s.snapshot == nil {
+		return nil
+	}
+	view := s.snapshot.Pool(s.pool)
+	if view == nil {
+		return nil
+	}
+	for _, t := range view.Targets {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func (s *Shard) enqueue(q *request) {
+	q.tier.push(q)
+	s.timers.push(q)
+	s.waiting++
+}
+
+func (s *Shard) dequeue(q *request) {
+	q.tier.remove(q)
+	s.timers.remove(q)
+	s.waiting--
+}
--- /dev/null
+++ b/internal/pool/shard/target.go
@@ -0,0 +1,278 @@
+package shard
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+)
+
+const (
+	minLimit = 1.0
+	maxLimit = 4096.0
+	// limitDecrease is the factor applied to the limit of an overloaded target.
+	limitDecrease = 0.9
+	// limitInterval is the shortest time between two decreases.
+	limitInterval = time.Second
+
+	// firstTokenGoal and decodeGoal are the users' goals at the 95th percentile.
+	firstTokenGoal = 510 * time.Millisecond
+	decodeGoal     = 65 * time.Millisecond
+	// shortPrompt is the size in tokens up to which firstTokenGoal applies.
+	shortPrompt = 2000
+
+	minBackoff = time.Second
+	maxBackoff = 30 * time.Second
+
+	// speedWeight is the weight of a new sample in the mean speed of a target.
+	speedWeight = 0.2
+	// minSamples is the number of samples before a target is compared with others.
+	minSamples = 5
+	// stragglerSpeed is the share of the median speed below which a target gets less work.
+	stragglerSpeed = 0.5
+	// ejectSpeed is the share of the median speed below which a target is only probed.
+	ejectSpeed = 0.25
+	// maxEjected is the largest share of a pool that may be ejected as stragglers.
+	maxEjected = 1.0 / 3
+	// compareInterval is the time between two comparisons of target speeds.
+	compareInterval = time.Second
+)
+
+// target is what the shard knows about one target.
+type target struct {
+	name       object.TargetName
+	generation object.Generation
+	engine     bool
+	// closed targets get no new work.
+	closed bool
+
+	limit     float64
+	inFlight  int
+	tokens    int64
+	decreased time.Time
+
+	failures int
+	retryAt  time.Time // Zero unless the last attempt to connect failed.
+	probing  bool      // One request at a time until one completes.
+
+	decode  float64 // Mean time between tokens in microseconds.
+	samples int
+	speed   float64 // Speed relative to the median of the generation, at most 1.
+
+	readyIndex int // Position in the heap of targets with free slots, -1 if none.
+}
+
+func newTarget(spec *object.Target, pool object.PoolType) *target {
+	return &target{
+		name:       spec.Name,
+		generation: spec.Generation,
+		engine:     pool == object.EnginePool,
+		limit:      float64(max(spec.Slots, 1)),
+		speed:      1,
+		readyIndex: -1,
+	}
+}
+
+// slots returns how many requests the target may have in flight.
+func (t *target) slots() int {
+	switch {
+	case t.closed || !t.retryAt.IsZero():
+		return 0
+	case t.probing:
+		return 1
+	case t.speed < stragglerSpeed:
+		return max(int(t.limit*t.speed), 1)
+	}
+	return int(t.limit)
+}
+
+// load returns the share of the slots that one more request would fill.
+func (t *target) load() float64 {
+	return float64(t.inFlight+1) / (float64(max(t.slots(), 1)) * t.speed)
+}
+
+func (t *target) start(cost int64) {
+	t.inFlight++
+	t.tokens += cost
+}
+
+func (t *target) stop(cost int64) {
+	t.inFlight--
+	t.tokens -= cost
+}
+
+// observe adapts the limit and the speed to a completed request.
+func (t *target) observe(now time.Time, f wire.Finish) {
+	t.failures = 0
+	t.probing = false
+	if !t.engine {
+		return
+	}
+	if f.DecodeUS > 0 {
+		t.samples++
+		if t.samples == 1 {
+			t.decode = float64(f.DecodeUS)
+		}
+		t.decode += speedWeight * (float64(f.DecodeUS) - t.decode)
+	}
+	slowStart := f.PromptTokens <= shortPrompt && time.Duration(f.FirstTokenMS)*time.Millisecond > firstTokenGoal
+	slowDecode := time.Duration(f.DecodeUS)*time.Microsecond > decodeGoal
+	if slowStart || slowDecode {
+		if now.Sub(t.decreased) >= limitInterval {
+			t.limit = max(t.limit*limitDecrease, minLimit)
+			t.decreased = now
+		}
+		return
+	}
+	// Only a target that was nearly full has shown that it can carry more.
+	if float64(t.inFlight+1) >= t.limit*0.8 {
+		t.limit = min(t.limit+1/t.limit, maxLimit)
+	}
+}
+
+// fail takes a target out until its next attempt, with exponential backoff.
+func (s *Shard) fail(now time.Time, t *target) {
+	backoff := min(minBackoff<<min(t.failures, 5), maxBackoff)
+	t.failures++
+	t.probing = true
+	if t.retryAt.IsZero() {
+		s.failed = append(s.failed, t)
+	}
+	t.retryAt = now.Add(backoff)
+	s.ready.fix(t)
+}
+
+// reopen lets targets be tried again whose backoff has passed.
+func (s *Shard) reopen(now time.Time) {
+	s.failed = slices.DeleteFunc(s.failed, func(t *target) bool {
+		if now.Before(t.retryAt) {
+			return false
+		}
+		t.retryAt = time.Time{}
+		s.ready.fix(t)
+		return true
+	})
+}
+
+// anyOpen reports whether some target may get work now or after a backoff.
+func (s *Shard) anyOpen() bool {
+	if len(s.ready) > 0 {
+		return true
+	}
+	for _, t := range s.targets {
+		if !t.closed {
+			return true
+		}
+	}
+	return false
+}
+
+// compareTargets finds stragglers: targets slower than the median of their generation.
+func (s *Shard) compareTargets(now time.Time) {
+	if now.Sub(s.comparedAt) < compareInterval {
+		return
+	}
+	s.comparedAt = now
+	byGeneration := map[object.Generation][]*target{}
+	for _, t := range s.targets {
+		if t.samples >= minSamples {
+			byGeneration[t.generation] = append(byGeneration[t.generation], t)
+		}
+	}
+	ejected := 0
+	limit := int(float64(len(s.targets)) * maxEjected)
+	for _, peers := range byGeneration {
+		slices.SortFunc(peers, func(a, b *target) int {
+			if a.decode < b.decode {
+				return -1
+			}
+			return 1
+		})
+		median := peers[len(peers)/2].decode
+		for i := len(peers) - 1; i >= 0; i-- {
+			t := peers[i]
+			t.speed = min(median/max(t.decode, 1), 1)
+			if t.speed < ejectSpeed && ejected < limit {
+				t.probing = true
+				ejected++
+			}
+			s.ready.fix(t)
+		}
+	}
+}
+
+// place picks the target for a request: one that holds a prefix of its prompt unless
+// it is much more loaded, else the least loaded. It returns nil if no slot is free.
+func (s *Shard) place(_ time.Time, q *request) *target {
+	if len(s.ready) == 0 {
+		return nil
+	}
+	least := s.ready[0]
+	for i := len(q.Prefixes) - 1; i >= 0; i-- {
+		saved := float64(i+1) / float64(len(q.Prefixes))
+		var best *target
+		for _, holder := range s.prefixes.holders(q.Prefixes[i]) {
+			if holder.readyIndex >= 0 && (best == nil || holder.load() < best.load()) {
+				best = holder
+			}
+		}
+		if best != nil && best.load() <= least.load()+prefixBias*saved {
+			return best
+		}
+	}
+	return least
+}
+
+// prefixBias is how much more loaded a target that holds the whole prefix may be.
+const prefixBias = 0.5
+
+// readyHeap orders targets with free slots by load.
+type readyHeap []*target
+
+func (h readyHeap) Len() int { return len(h) }
+
+func (h readyHeap) Less(i, j int) bool {
+	a, b := h[i].load(), h[j].load()
+	if a != b {
+		return a < b
+	}
+	return h[i].name < h[j].name
+}
+
+func (h readyHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].readyIndex = i
+	h[j].readyIndex = j
+}
+
+// Push implements heap.Interface.
+func (h *readyHeap) Push(x any) {
+	t := x.(*target)
+	t.readyIndex = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *readyHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.readyIndex = -1
+	return t
+}
+
+// fix adds, moves or removes a target after a change of its slots or load.
+func (h *readyHeap) fix(t *target) {
+	free := t.inFlight < t.slots()
+	switch {
+	case free && t.readyIndex < 0:
+		heap.Push(h, t)
+	case free:
+		heap.Fix(h, t.readyIndex)
+	case t.readyIndex >= 0:
+		heap.Remove(h, t.readyIndex)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,302 @@
+// Package engine is a stand-in for a model engine: the OpenAI-style API with streams
+// that can be resumed and cancelled.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Settings are the properties of an engine.
+type Settings struct {
+	PrefillPerToken time.Duration
+	DecodePerToken  time.Duration
+	// NoResume makes the engine forget a stream with its connection and send no ids.
+	NoResume bool
+}
+
+// Connection is what a Fault gets to see of one connection.
+type Connection struct {
+	ID    string
+	Event int // Number of the event that is about to be sent, from 1.
+	Nth   int // Number of the connection of the stream, from 1.
+}
+
+// Action is what happens before an event is sent.
+type Action int
+
+// The actions.
+const (
+	Send   Action = iota
+	Break         // Cut the connection.
+	Hang          // Go silent on this connection for good.
+	Repeat        // Send the previous event again first.
+	Stray         // Send an event of another answer first.
+)
+
+// Engine is a stand-in engine. It is an http.Handler.
+type Engine struct {
+	settings Settings
+
+	mu        sync.Mutex
+	streams   map[string]*stream
+	runs      map[string]int
+	cancelled map[string]bool
+	fault     func(Connection) Action
+	reject    int
+}
+
+type stream struct {
+	id          string
+	chat        bool
+	model       string
+	prompt      int
+	events      [][]byte
+	finished    bool
+	gone        bool
+	connections int
+	changed     chan struct{}
+}
+
+// New creates an engine.
+func New(s Settings) *Engine {
+	return &Engine{settings: s, streams: map[string]*stream{}, runs: map[string]int{}, cancelled: map[string]bool{}}
+}
+
+// SetFault sets the function that decides what happens before each event.
+func (e *Engine) SetFault(fault func(Connection) Action) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = fault
+}
+
+// SetReject makes the engine refuse all requests with a status, 0 for none.
+func (e *Engine) SetReject(status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reject = status
+}
+
+// Runs returns how often each request was run, by request id.
+func (e *Engine) Runs() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make(map[string]int, len(e.runs))
+	for id, n := range e.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// Cancelled reports whether a stream was cancelled.
+func (e *Engine) Cancelled(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cancelled[id]
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id, isStream := strings.CutPrefix(r.URL.Path, "/v1/streams/")
+	switch {
+	case r.URL.Path == "/standin/runs":
+		_ = json.NewEncoder(w).Encode(e.Runs())
+	case isStream && r.Method == http.MethodDelete:
+		e.cancel(id)
+	case isStream:
+		e.resume(w, r, id)
+	case strings.HasSuffix(r.URL.Path, "/completions"):
+		e.start(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (e *Engine) cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled[id] = true
+	if s := e.streams[id]; s != nil {
+		s.gone = true
+		s.wake()
+		delete(e.streams, id)
+	}
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request, id string) {
+	e.mu.Lock()
+	s := e.streams[id]
+	e.mu.Unlock()
+	if s == nil || e.settings.NoResume {
+		http.NotFound(w, r)
+		return
+	}
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	if err != nil {
+		http.Error(w, "Last-Event-ID: not a number", http.StatusBadRequest)
+		return
+	}
+	e.serve(w, r, s, after)
+}
+
+func (e *Engine) start(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		Model     string          `json:"model"`
+		MaxTokens int             `json:"max_tokens"`
+		Messages  json.RawMessage `json:"messages"`
+		Prompt    json.RawMessage `json:"prompt"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, `{"error":{"message":"body is not JSON"}}`, http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	reject := e.reject
+	e.mu.Unlock()
+	if reject != 0 {
+		w.WriteHeader(reject)
+		_, _ = w.Write([]byte(`{"error":{"message":"rejected by the engine","type":"invalid_request_error"}}`))
+		return
+	}
+	if request.MaxTokens == 0 {
+		request.MaxTokens = 16
+	}
+	id := r.Header.Get("X-Request-Id")
+	s := &stream{
+		id:      id,
+		chat:    strings.Contains(r.URL.Path, "/chat/"),
+		model:   request.Model,
+		prompt:  (len(request.Messages)+len(request.Prompt))/4 + 1,
+		changed: make(chan struct{}),
+	}
+	e.mu.Lock()
+	e.runs[id]++
+	e.streams[id] = s
+	e.mu.Unlock()
+	go e.generate(s, request.MaxTokens)
+	e.serve(w, r, s, 0)
+}
+
+// generate produces the events of an answer, whoever listens.
+func (e *Engine) generate(s *stream, tokens int) {
+	time.Sleep(time.Duration(s.prompt) * e.settings.PrefillPerToken)
+	for i := range tokens {
+		if i > 0 {
+			time.Sleep(e.settings.DecodePerToken)
+		}
+		if !e.add(s, s.token(i, i == tokens-1)) {
+			return
+		}
+	}
+	usage := fmt.Sprintf(`{"id":"answer-%s","model":%q,"choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`,
+		s.id, s.model, s.prompt, tokens, s.prompt+tokens)
+	e.add(s, []byte(usage))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.finished = true
+	s.wake()
+}
+
+func (e *Engine) add(s *stream, event []byte) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.gone {
+		return false
+	}
+	s.events = append(s.events, event)
+	s.wake()
+	return true
+}
+
+func (s *stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) token(i int, last bool) []byte {
+	finish := "null"
+	if last {
+		finish = `"stop"`
+	}
+	text := fmt.Sprintf("t%d ", i)
+	if s.chat {
+		return fmt.Appendf(nil, `{"id":"answer-%s","object":"chat.completion.chunk","created":1,"model":%q,"choices":[{"index":0,"delta":{"role":"assistant","content":%q},"finish_reason":%s}]}`,
+			s.id, s.model, text, finish)
+	}
+	return fmt.Appendf(nil, `{"id":"answer-%s","object":"text_completion","created":1,"model":%q,"choices":[{"index":0,"text":%q,"finish_reason":%s}]}`,
+		s.id, s.model, text, finish)
+}
+
+// serve sends the events after the given one on one connection.
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, s *stream, after int) {
+	control := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = control.Flush()
+	e.mu.Lock()
+	s.connections++
+	nth := s.connections
+	fault := e.fault
+	e.mu.Unlock()
+	for {
+		e.mu.Lock()
+		events, finished, gone, changed := s.events, s.finished, s.gone, s.changed
+		e.mu.Unlock()
+		for ; after < len(events); after++ {
+			if fault != nil && !e.act(w, r, s, events, after, fault(Connection{s.id, after + 1, nth})) {
+				return
+			}
+			e.write(w, after+1, events[after])
+		}
+		_ = control.Flush()
+		if finished && after == len(events) {
+			_, _ = w.Write([]byte("data: [DONE]\n\n"))
+			return
+		}
+		if gone {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			if e.settings.NoResume {
+				e.cancel(s.id)
+			}
+			return
+		case <-changed:
+		}
+	}
+}
+
+// act carries out a fault and reports whether the connection goes on.
+func (e *Engine) act(w http.ResponseWriter, r *http.Request, s *stream, events [][]byte, i int, action Action) bool {
+	switch action {
+	case Send:
+	case Break:
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case Hang:
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		return false
+	case Repeat:
+		if i > 0 {
+			e.write(w, i, events[i-1])
+		}
+	case Stray:
+		other := strings.Replace(string(events[i]), s.id, "other", 1)
+		e.write(w, i+1, []byte(other))
+	}
+	return true
+}
+
+func (e *Engine) write(w http.ResponseWriter, id int, event []byte) {
+	if !e.settings.NoResume {
+		fmt.Fprintf(w, "id: %d\n", id)
+	}
+	fmt.Fprintf(w, "data: %s\n\n", event)
+}
--- /dev/null
+++ b/internal/standin/hosts/hosts.go
@@ -0,0 +1,47 @@
+// Package hosts is a stand-in for the platform's list of hosts.
+package hosts
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+)
+
+// Group is one entry of the list.
+type Group struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// List is a list of hosts that is read with GET and replaced with PUT.
+type List struct {
+	mu     sync.Mutex
+	groups []Group
+}
+
+// New creates a list.
+func New(groups []Group) *List { return &List{groups: groups} }
+
+// Set replaces the list.
+func (l *List) Set(groups []Group) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.groups = groups
+}
+
+// ServeHTTP implements http.Handler.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		var groups []Group
+		if err := json.NewDecoder(r.Body).Decode(&groups); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(groups)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l.groups)
+}
--- /dev/null
+++ b/internal/standin/process/process.go
@@ -0,0 +1,313 @@
+// Package process starts the programs of this repository as separate processes, for the
+// demonstration and for tests.
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"text/template"
+	"time"
+
+	"redwinglock/internal/standin/hosts"
+	"redwinglock/internal/state/object"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Keys of the test installation.
+const (
+	OperatorKey = "operator-key"
+	PeerKey     = "peer-key"
+)
+
+// Process is one running program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+	log  *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// start runs a program. If first is not nil, it receives the first line of the output.
+func start(name string, first chan<- string, program string, args ...string) (*Process, error) {
+	p := &Process{Name: name, cmd: exec.Command(program, args...), done: make(chan struct{}), log: &lockedBuffer{}}
+	p.cmd.Stderr = p.log
+	output, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go func() {
+		defer close(p.done)
+		reader := bufio.NewReader(output)
+		line, _ := reader.ReadString('\n')
+		if first != nil {
+			first <- line
+		}
+		_, _ = io.Copy(p.log, reader)
+		p.err = p.cmd.Wait()
+	}()
+	return p, nil
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Wait waits for the end of the process and returns its error.
+func (p *Process) Wait() error {
+	<-p.done
+	return p.err
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	<-p.done
+}
+
+// Log returns what the process has logged.
+func (p *Process) Log() string { return p.log.String() }
+
+// Installation is a set of processes: stand-ins for the platform and entry hosts.
+type Installation struct {
+	bin string
+	dir string
+
+	StoreURL string
+	HostsURL string
+	Hosts    []*Host
+
+	processes []*Process
+}
+
+// Host is one entry host.
+type Host struct {
+	*Process
+	Name        string
+	Zone        string
+	CallerURL   string
+	PeerURL     string
+	OperatorURL string
+	settings    string
+}
+
+// New starts the stand-ins of the platform. bin holds the programs, dir is for files.
+func New(bin, dir string) (*Installation, error) {
+	n := &Installation{bin: bin, dir: dir}
+	var err error
+	if n.StoreURL, err = n.Standin("store", "store"); err != nil {
+		return nil, err
+	}
+	if n.HostsURL, err = n.Standin("hosts", "hosts"); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Close ends all processes.
+func (n *Installation) Close() error {
+	for _, p := range n.processes {
+		p.Kill()
+	}
+	return nil
+}
+
+// Standin starts a stand-in and returns its base URL.
+func (n *Installation) Standin(name string, args ...string) (string, error) {
+	first := make(chan string, 1)
+	p, err := start(name, first, filepath.Join(n.bin, "standin"), args...)
+	if err != nil {
+		return "", err
+	}
+	n.processes = append(n.processes, p)
+	line := <-first
+	if line == "" {
+		return "", fmt.Errorf("start %s: %s", name, p.Log())
+	}
+	return line[:len(line)-1], nil
+}
+
+var settingsTemplate = template.Must(template.New("settings").Parse(`host: {{.Name}}
+zone: {{.Zone}}
+callers:
+  listen: {{.Caller}}
+  advertise: http://{{.Caller}}
+  address-ttl: 1s
+peers:
+  listen: {{.Peer}}
+  advertise: http://{{.Peer}}
+  key: {{.PeerKey}}
+operators:
+  listen: {{.Operator}}
+  keys:
+    - name: demo
+      role: write
+      key-hash: {{.OperatorHash}}
+store:
+  endpoints: [{{.Store}}]
+hosts:
+  url: {{.Hosts}}
+stop:
+  limit: 60s
+`))
+
+// AddHost writes the settings of an entry host and starts it.
+func (n *Installation) AddHost(name, zone string) (*Host, error) {
+	var ports [3]string
+	for i := range ports {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		ports[i] = address
+	}
+	var text bytes.Buffer
+	err := settingsTemplate.Execute(&text, map[string]string{
+		"Name": name, "Zone": zone, "Caller": ports[0], "Peer": ports[1], "Operator": ports[2],
+		"PeerKey": PeerKey, "OperatorHash": object.HashKey(OperatorKey), "Store": n.StoreURL, "Hosts": n.HostsURL,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	h := &Host{
+		Name: name, Zone: zone,
+		CallerURL: "http://" + ports[0], PeerURL: "http://" + ports[1], OperatorURL: "http://" + ports[2],
+		settings: filepath.Join(n.dir, name+".yaml"),
+	}
+	if err := os.WriteFile(h.settings, text.Bytes(), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	n.Hosts = append(n.Hosts, h)
+	if err := n.publishHosts(); err != nil {
+		return nil, err
+	}
+	return h, n.Restart(h)
+}
+
+// Restart starts the process of a host.
+func (n *Installation) Restart(h *Host) error {
+	p, err := start(h.Name, nil, filepath.Join(n.bin, "redwinglock"), "serve", "--settings", h.settings)
+	if err != nil {
+		return err
+	}
+	h.Process = p
+	n.processes = append(n.processes, p)
+	return nil
+}
+
+func (n *Installation) publishHosts() error {
+	var groups []hosts.Group
+	for _, h := range n.Hosts {
+		groups = append(groups, hosts.Group{Targets: []string{h.CallerURL}, Labels: map[string]string{
+			"role": "entry", "name": h.Name, "zone": h.Zone, "state": "live", "peer-url": h.PeerURL, "caller-url": h.CallerURL,
+		}})
+	}
+	content, err := json.Marshal(groups)
+	if err != nil {
+		return fmt.Errorf("encode list of hosts: %w", err)
+	}
+	request, err := http.NewRequest(http.MethodPut, n.HostsURL, bytes.NewReader(content))
+	if err != nil {
+		return fmt.Errorf("publish list of hosts: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("publish list of hosts: %w", err)
+	}
+	return response.Body.Close()
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Command runs a command of the program against a host and returns its output.
+func (n *Installation) Command(h *Host, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(n.bin, "redwinglock"), args...)
+	cmd.Env = append(os.Environ(), "REDWINGLOCK_URL="+h.OperatorURL, "REDWINGLOCK_KEY="+OperatorKey)
+	output, err := cmd.CombinedOutput()
+	if err != nil {
+		return string(output), fmt.Errorf("%v: %w: %s", args, err, output)
+	}
+	return string(output), nil
+}
+
+// ErrTimeout says that a condition did not come true.
+var ErrTimeout = errors.New("condition did not come true in time")
+
+// Until waits for a condition.
+func Until(what string, condition func() bool) error {
+	deadline := time.Now().Add(startTimeout)
+	for time.Now().Before(deadline) {
+		if condition() {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return fmt.Errorf("%s: %w", what, ErrTimeout)
+}
+
+// Status returns the HTTP status of a GET, 0 if there is no answer.
+func Status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// GetJSON reads a JSON answer.
+func GetJSON(url string, answer any) error {
+	response, err := http.Get(url)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", url, err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return fmt.Errorf("decode %s: %w", url, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,66 @@
+// Package service is a stand-in for a plain service that counts how often it ran.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service is a stand-in service. It is an http.Handler.
+type Service struct {
+	delay time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int // By content of the call.
+	hook func(body string)
+}
+
+// New creates a service that takes the given time for each call.
+func New(delay time.Duration) *Service {
+	return &Service{delay: delay, runs: map[string]int{}}
+}
+
+// SetHook sets a function that is called while a call runs, after it was counted.
+func (s *Service) SetHook(hook func(body string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hook = hook
+}
+
+// Runs returns how often each content was run.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.runs))
+	for body, n := range s.runs {
+		runs[body] = n
+	}
+	return runs
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/standin/runs" {
+		_ = json.NewEncoder(w).Encode(s.Runs())
+		return
+	}
+	content, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	body := string(content)
+	s.mu.Lock()
+	s.runs[body]++
+	run := s.runs[body]
+	hook := s.hook
+	s.mu.Unlock()
+	time.Sleep(s.delay)
+	if hook != nil {
+		hook(body)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"path": r.URL.Path, "run": run})
+}
--- /dev/null
+++ b/internal/state/board/board.go
@@ -0,0 +1,162 @@
+// Package board is the blackboard of a process: controllers write to it what they
+// learn, and the path of a request reads it without locks.
+package board
+
+import (
+	"hash/fnv"
+	"sync"
+	"sync/atomic"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+)
+
+// Member is one entry host as other hosts know it.
+type Member struct {
+	Name string      `json:"name"`
+	Zone object.Zone `json:"zone"`
+	// Run identifies the current run of the process; empty if not yet known.
+	Run wire.HostID `json:"run,omitempty"`
+	// PeerURL and CallerURL are the base URLs of its listeners.
+	PeerURL   string `json:"peer-url"`
+	CallerURL string `json:"caller-url"`
+	// Leaving members finish their work and take no new one.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Members is a view of the live entry hosts, this one included, sorted by name.
+type Members struct {
+	Self Member
+	Live []Member
+}
+
+// Hosts is the platform's list of hosts.
+type Hosts struct {
+	// LeavingTargets are the targets that the platform is about to stop.
+	LeavingTargets map[object.TargetName]bool
+}
+
+// Board holds the current state of the process. Values are immutable; writers replace
+// them whole.
+type Board struct {
+	config   atomic.Pointer[object.Snapshot]
+	members  atomic.Pointer[Members]
+	hosts    atomic.Pointer[Hosts]
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// New creates a board for a process that knows only itself.
+func New(self Member) *Board {
+	b := &Board{changed: make(chan struct{})}
+	b.members.Store(&Members{Self: self, Live: []Member{self}})
+	b.hosts.Store(&Hosts{})
+	return b
+}
+
+// Config returns the configuration in force, or nil if there is none yet.
+func (b *Board) Config() *object.Snapshot { return b.config.Load() }
+
+// Members returns the current view of entry hosts.
+func (b *Board) Members() *Members { return b.members.Load() }
+
+// Hosts returns the latest list of hosts.
+func (b *Board) Hosts() *Hosts { return b.hosts.Load() }
+
+// Stopping reports whether a planned stop has begun.
+func (b *Board) Stopping() bool { return b.stopping.Load() }
+
+// SetConfig puts a configuration in force unless a newer one is. It reports whether
+// the configuration was replaced.
+func (b *Board) SetConfig(next *object.Snapshot) bool {
+	for {
+		current := b.config.Load()
+		if current != nil && current.Revision >= next.Revision {
+			return false
+		}
+		if b.config.CompareAndSwap(current, next) {
+			b.notify()
+			return true
+		}
+	}
+}
+
+// SetMembers replaces the view of entry hosts.
+func (b *Board) SetMembers(m *Members) {
+	b.members.Store(m)
+	b.notify()
+}
+
+// SetHosts replaces the list of hosts.
+func (b *Board) SetHosts(h *Hosts) {
+	b.hosts.Store(h)
+	b.notify()
+}
+
+// SetStopping marks the beginning of a planned stop.
+func (b *Board) SetStopping() {
+	b.stopping.Store(true)
+	b.notify()
+}
+
+// Changed returns a channel that is closed at the next change. A reader takes the
+// channel before it reads the board, so that no change is missed.
+func (b *Board) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+func (b *Board) notify() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Owner returns the member that arbitrates a pool: the one with the highest
+// rendezvous hash among those accepted by usable. Members that are leaving come last.
+func (m *Members) Owner(pool object.PoolName, usable func(Member) bool) Member {
+	best := m.Self
+	var bestScore uint64
+	found := false
+	for _, member := range m.Live {
+		if member.Leaving || !usable(member) {
+			continue
+		}
+		score := rendezvous(pool, member.Name)
+		if !found || score > bestScore {
+			best, bestScore, found = member, score, true
+		}
+	}
+	return best
+}
+
+// Ranks reports whether this host is among the first n members for a duty. All hosts
+// with the same view agree on who they are.
+func (m *Members) Ranks(duty string, n int) bool {
+	own := rendezvous(object.PoolName(duty), m.Self.Name)
+	higher := 0
+	for _, member := range m.Live {
+		if !member.Leaving && rendezvous(object.PoolName(duty), member.Name) > own {
+			higher++
+		}
+	}
+	return higher < n
+}
+
+func rendezvous(pool object.PoolName, host string) uint64 {
+	digest := fnv.New64a()
+	digest.Write([]byte(host))
+	digest.Write([]byte{0})
+	digest.Write([]byte(pool))
+	// FNV alone mixes the last bytes badly; finish as in SplitMix64.
+	x := digest.Sum64()
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/state/common/common.go
@@ -0,0 +1,78 @@
+// Package common holds what every part of the program is given: log, settings and
+// metrics.
+package common
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"redwinglock/internal/state/outcome"
+	"redwinglock/internal/state/settings"
+)
+
+// Common is handed down to all parts.
+type Common struct {
+	Settings *settings.Settings
+	Metrics  tally.Scope
+	logger   *logrus.Logger
+}
+
+// New creates a Common that logs to standard error as the settings say.
+func New(s *settings.Settings, metrics tally.Scope) *Common {
+	logger := logrus.New()
+	logger.SetOutput(os.Stderr)
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		level = logrus.InfoLevel
+	}
+	logger.SetLevel(level)
+	if s.Log.Format == "json" {
+		logger.SetFormatter(&prefixFormatter{&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}})
+	} else {
+		logger.SetFormatter(&prefixFormatter{&logrus.TextFormatter{DisableColors: true, FullTimestamp: true}})
+	}
+	return &Common{Settings: s, Metrics: metrics, logger: logger}
+}
+
+// Discard returns a Common for tests: default settings, no log, no metrics.
+func Discard() *Common {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s := &settings.Settings{Host: "host", Zone: "zone"}
+	s.FillIn()
+	return &Common{Settings: s, Metrics: tally.NoopScope, logger: logger}
+}
+
+// Log returns the log of one part of the program.
+func (c *Common) Log(part string) *logrus.Entry {
+	return c.logger.WithField(partField, part)
+}
+
+// CountRefusal counts a refusal by reason.
+func (c *Common) CountRefusal(reason outcome.Reason) {
+	c.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("refusals").Inc(1)
+}
+
+// CountRetry counts a retry by reason.
+func (c *Common) CountRetry(reason string) {
+	c.Metrics.Tagged(map[string]string{"reason": reason}).Counter("retries").Inc(1)
+}
+
+const partField = "part"
+
+// prefixFormatter puts the name of the part before each message.
+type prefixFormatter struct {
+	logrus.Formatter
+}
+
+// Format implements logrus.Formatter.
+func (f *prefixFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	if part, ok := entry.Data[partField].(string); ok {
+		entry.Message = part + ": " + entry.Message
+	}
+	return f.Formatter.Format(entry)
+}
--- /dev/null
+++ b/internal/state/object/check.go
@@ -0,0 +1,242 @@
+package object
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/url"
+	"regexp"
+	"time"
+)
+
+// Defaults of optional fields.
+const (
+	DefaultWeight       = 1
+	DefaultQueueTimeout = Duration(10 * time.Second)
+	DefaultPreemptAfter = Duration(200 * time.Millisecond)
+	DefaultQueueLimit   = 1000
+	DefaultIdleTimeout  = Duration(2 * time.Second)
+	DefaultSlots        = 8
+
+	maxSlots   = 4096
+	maxWeight  = 1_000_000
+	keyHashLen = 64 // Hex digits of a SHA-256 digest.
+)
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// checker collects every fault of a set.
+type checker struct {
+	faults   []error
+	accounts map[AccountName]*Account
+	tiers    map[TierName]*Tier
+	pools    map[PoolName]*Pool
+	targets  map[TargetName]*Target
+	models   map[ModelName]*Model
+	keys     map[string]AccountName
+	seen     map[Key]bool
+}
+
+func (c *checker) fault(o Object, field, format string, args ...any) {
+	c.faults = append(c.faults, fmt.Errorf("%s: %s: %s", KeyOf(o), field, fmt.Sprintf(format, args...)))
+}
+
+// Check verifies a whole set of objects and returns every fault with object and field.
+func Check(objects []Object) error {
+	_, err := index(objects)
+	return err
+}
+
+// index files the objects by name, fills in defaults and checks the set.
+func index(objects []Object) (*checker, error) {
+	c := &checker{
+		accounts: map[AccountName]*Account{},
+		tiers:    map[TierName]*Tier{},
+		pools:    map[PoolName]*Pool{},
+		targets:  map[TargetName]*Target{},
+		models:   map[ModelName]*Model{},
+		keys:     map[string]AccountName{},
+		seen:     map[Key]bool{},
+	}
+	for _, o := range objects {
+		c.add(o)
+	}
+	c.checkAccounts()
+	c.checkTiers()
+	c.checkPools()
+	c.checkTargets()
+	c.checkModels()
+	return c, errors.Join(c.faults...)
+}
+
+func (c *checker) add(o Object) {
+	key := KeyOf(o)
+	if !nameForm.MatchString(key.Name) {
+		c.fault(o, "name", "%q is not made of lower-case letters, digits, dots and hyphens (at most 63)", key.Name)
+	}
+	if c.seen[key] {
+		c.fault(o, "name", "defined more than once")
+		return
+	}
+	c.seen[key] = true
+	switch o := o.(type) {
+	case *Account:
+		account := *o
+		setDefault(&account.Weight, DefaultWeight)
+		c.accounts[o.Name] = &account
+	case *Tier:
+		tier := *o
+		setDefault(&tier.QueueTimeout, DefaultQueueTimeout)
+		setDefault(&tier.PreemptAfter, min(DefaultPreemptAfter, tier.QueueTimeout/2))
+		c.tiers[o.Name] = &tier
+	case *Pool:
+		pool := *o
+		setDefault(&pool.QueueLimit, DefaultQueueLimit)
+		setDefault(&pool.IdleTimeout, DefaultIdleTimeout)
+		c.pools[o.Name] = &pool
+	case *Target:
+		target := *o
+		setDefault(&target.Slots, DefaultSlots)
+		c.targets[o.Name] = &target
+	case *Model:
+		model := *o
+		c.models[o.Name] = &model
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c *checker) checkAccounts() {
+	for _, a := range c.accounts {
+		if len(a.Tiers) == 0 {
+			c.fault(a, "tiers", "at least one tier is needed")
+		}
+		for _, tier := range a.Tiers {
+			if c.tiers[tier] == nil {
+				c.fault(a, "tiers", "tier %q does not exist", tier)
+			}
+		}
+		if a.Weight < 1 || a.Weight > maxWeight {
+			c.fault(a, "weight", "%d is not between 1 and %d", a.Weight, maxWeight)
+		}
+		if a.MaxInFlight < 0 {
+			c.fault(a, "max-in-flight", "%d is negative", a.MaxInFlight)
+		}
+		if a.RequestsPerSecond < 0 {
+			c.fault(a, "requests-per-second", "%g is negative", a.RequestsPerSecond)
+		}
+		c.checkKeyHashes(a)
+	}
+}
+
+func (c *checker) checkKeyHashes(a *Account) {
+	if len(a.KeyHashes) == 0 {
+		c.fault(a, "key-hashes", "at least one key is needed")
+	}
+	for _, hash := range a.KeyHashes {
+		if _, err := hex.DecodeString(hash); err != nil || len(hash) != keyHashLen {
+			c.fault(a, "key-hashes", "a key hash is not a hex SHA-256 digest")
+			continue
+		}
+		if other, taken := c.keys[hash]; taken {
+			c.fault(a, "key-hashes", "a key is shared with account/%s", other)
+		}
+		c.keys[hash] = a.Name
+	}
+}
+
+func (c *checker) checkTiers() {
+	used := map[TierName]bool{}
+	for _, a := range c.accounts {
+		for _, tier := range a.Tiers {
+			used[tier] = true
+		}
+	}
+	priorities := map[int]TierName{}
+	for _, t := range c.tiers {
+		if !used[t.Name] {
+			c.fault(t, "name", "no account may use this tier")
+		}
+		if other, taken := priorities[t.Priority]; taken {
+			c.fault(t, "priority", "%d is also the priority of tier/%s", t.Priority, other)
+		}
+		priorities[t.Priority] = t.Name
+		if t.QueueTimeout < 0 {
+			c.fault(t, "queue-timeout", "is negative")
+		}
+		// Preemption must have time to free a slot before the wait ends.
+		if t.PreemptAfter < 0 || t.PreemptAfter > t.QueueTimeout/2 {
+			c.fault(t, "preempt-after", "is not between 0 and half of queue-timeout")
+		}
+	}
+}
+
+func (c *checker) checkPools() {
+	size := map[PoolName]int{}
+	for _, t := range c.targets {
+		size[t.Pool]++
+	}
+	for _, p := range c.pools {
+		if p.Type != EnginePool && p.Type != ServicePool {
+			c.fault(p, "type", "%q is neither %q nor %q", p.Type, EnginePool, ServicePool)
+		}
+		if size[p.Name] == 0 {
+			c.fault(p, "name", "no target belongs to this pool")
+		}
+		if p.QueueLimit < 1 {
+			c.fault(p, "queue-limit", "%d is less than 1", p.QueueLimit)
+		}
+		if p.IdleTimeout < 0 {
+			c.fault(p, "idle-timeout", "is negative")
+		}
+	}
+}
+
+func (c *checker) checkTargets() {
+	for _, t := range c.targets {
+		if c.pools[t.Pool] == nil {
+			c.fault(t, "pool", "pool %q does not exist", t.Pool)
+		}
+		if t.Zone == "" {
+			c.fault(t, "zone", "is missing")
+		}
+		address, err := url.Parse(t.Address)
+		if err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https") {
+			c.fault(t, "address", "%q is not an http or https URL", t.Address)
+		}
+		if t.Slots < 1 || t.Slots > maxSlots {
+			c.fault(t, "slots", "%d is not between 1 and %d", t.Slots, maxSlots)
+		}
+	}
+}
+
+func (c *checker) checkModels() {
+	for _, m := range c.models {
+		if len(m.Versions) == 0 {
+			c.fault(m, "versions", "at least one version is needed")
+		}
+		found := false
+		names := map[VersionName]bool{}
+		for _, v := range m.Versions {
+			found = found || v.Name == m.Default
+			if names[v.Name] {
+				c.fault(m, "versions", "version %q is defined more than once", v.Name)
+			}
+			names[v.Name] = true
+			pool := c.pools[v.Pool]
+			if pool == nil {
+				c.fault(m, "versions", "version %q: pool %q does not exist", v.Name, v.Pool)
+			} else if pool.Type != EnginePool {
+				c.fault(m, "versions", "version %q: pool %q is not an engine pool", v.Name, v.Pool)
+			}
+		}
+		if !found {
+			c.fault(m, "default", "version %q does not exist", m.Default)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/object/types.go
@@ -0,0 +1,195 @@
+// Package object defines the named objects that operators publish, checks a whole
+// set of them and compiles it to an immutable snapshot.
+package object
+
+import (
+	"fmt"
+	"time"
+)
+
+// Names of objects.
+type (
+	// AccountName names a client account.
+	AccountName string
+	// TierName names a tier.
+	TierName string
+	// PoolName names a pool of targets.
+	PoolName string
+	// TargetName names a target.
+	TargetName string
+	// ModelName names a model.
+	ModelName string
+	// VersionName names a version of a model.
+	VersionName string
+	// Zone names an availability zone.
+	Zone string
+	// Generation names a hardware generation.
+	Generation string
+)
+
+// Kind is the kind of a named object.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindAccount Kind = "account"
+	KindTier    Kind = "tier"
+	KindPool    Kind = "pool"
+	KindTarget  Kind = "target"
+	KindModel   Kind = "model"
+)
+
+// Revision counts accepted change sets; a higher one is newer.
+type Revision int64
+
+// Duration is a time span written as text such as "250ms".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration: %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Object is one named object. It is one of *Account, *Tier, *Pool, *Target, *Model.
+type Object interface {
+	sealed()
+}
+
+// Account is a client account.
+type Account struct {
+	Name AccountName `json:"name" yaml:"name"`
+	// Group labels the account in metrics.
+	Group string `json:"group,omitempty" yaml:"group,omitempty"`
+	// Tiers that the account may use; the first is the default.
+	Tiers []TierName `json:"tiers" yaml:"tiers"`
+	// Weight is the share of the account within its tier. Default 1.
+	Weight int `json:"weight,omitempty" yaml:"weight,omitempty"`
+	// KeyHashes are the hex SHA-256 digests of the keys of the account.
+	KeyHashes []string `json:"key-hashes" yaml:"key-hashes"`
+	// MaxInFlight bounds the requests of the account at one entry host. Zero: no bound.
+	MaxInFlight int `json:"max-in-flight,omitempty" yaml:"max-in-flight,omitempty"`
+	// RequestsPerSecond bounds the rate of the account at one entry host. Zero: no bound.
+	RequestsPerSecond float64 `json:"requests-per-second,omitempty" yaml:"requests-per-second,omitempty"`
+}
+
+// Tier is a class of urgency.
+type Tier struct {
+	Name TierName `json:"name" yaml:"name"`
+	// Priority orders tiers; the higher one is served first.
+	Priority int `json:"priority" yaml:"priority"`
+	// QueueTimeout is the longest wait for a target. Default 10s.
+	QueueTimeout Duration `json:"queue-timeout,omitempty" yaml:"queue-timeout,omitempty"`
+	// PreemptAfter is the wait after which lower-tier work is cancelled. Default 200ms.
+	PreemptAfter Duration `json:"preempt-after,omitempty" yaml:"preempt-after,omitempty"`
+}
+
+// PoolType says what the targets of a pool are.
+type PoolType string
+
+// The types of pools.
+const (
+	EnginePool  PoolType = "engine"
+	ServicePool PoolType = "service"
+)
+
+// Pool is a set of targets that can stand in for each other.
+type Pool struct {
+	Name PoolName `json:"name" yaml:"name"`
+	Type PoolType `json:"type" yaml:"type"`
+	// QueueLimit bounds the waiting requests of the pool. Default 1000.
+	QueueLimit int `json:"queue-limit,omitempty" yaml:"queue-limit,omitempty"`
+	// IdleTimeout is the silence after which a stream is resumed on a new connection. Default 2s.
+	IdleTimeout Duration `json:"idle-timeout,omitempty" yaml:"idle-timeout,omitempty"`
+	// NonIdempotent marks every call to the pool as non-idempotent.
+	NonIdempotent bool `json:"non-idempotent,omitempty" yaml:"non-idempotent,omitempty"`
+}
+
+// Target is one model engine or plain service instance.
+type Target struct {
+	Name TargetName `json:"name" yaml:"name"`
+	Pool PoolName   `json:"pool" yaml:"pool"`
+	Zone Zone       `json:"zone" yaml:"zone"`
+	// Address is the base URL of the target.
+	Address string `json:"address" yaml:"address"`
+	// Generation is the hardware generation, compared when looking for stragglers.
+	Generation Generation `json:"generation,omitempty" yaml:"generation,omitempty"`
+	// Slots is the initial limit of requests in flight. Default 8.
+	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
+	// Drain stops new work for the target.
+	Drain bool `json:"drain,omitempty" yaml:"drain,omitempty"`
+}
+
+// Model is a model that callers name in requests.
+type Model struct {
+	Name ModelName `json:"name" yaml:"name"`
+	// Default is the version used when the caller names none.
+	Default  VersionName `json:"default" yaml:"default"`
+	Versions []Version   `json:"versions" yaml:"versions"`
+}
+
+// Version is one version of a model.
+type Version struct {
+	Name VersionName `json:"name" yaml:"name"`
+	Pool PoolName    `json:"pool" yaml:"pool"`
+	// ServedName is the model name sent to the engine. Default: the name of the model.
+	ServedName string `json:"served-name,omitempty" yaml:"served-name,omitempty"`
+}
+
+func (*Account) sealed() {}
+func (*Tier) sealed()    {}
+func (*Pool) sealed()    {}
+func (*Target) sealed()  {}
+func (*Model) sealed()   {}
+
+// Key identifies an object within a set.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// String returns the key as "kind/name".
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// KeyOf returns the key of an object.
+func KeyOf(o Object) Key {
+	switch o := o.(type) {
+	case *Account:
+		return Key{KindAccount, string(o.Name)}
+	case *Tier:
+		return Key{KindTier, string(o.Name)}
+	case *Pool:
+		return Key{KindPool, string(o.Name)}
+	case *Target:
+		return Key{KindTarget, string(o.Name)}
+	case *Model:
+		return Key{KindModel, string(o.Name)}
+	}
+	return Key{}
+}
+
+// New returns an empty object of the kind, or an error for an unknown kind.
+func New(kind Kind) (Object, error) {
+	switch kind {
+	case KindAccount:
+		return &Account{}, nil
+	case KindTier:
+		return &Tier{}, nil
+	case KindPool:
+		return &Pool{}, nil
+	case KindTarget:
+		return &Target{}, nil
+	case KindModel:
+		return &Model{}, nil
+	}
+	return nil, fmt.Errorf("kind: unknown kind %q", kind)
+}
