--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,58 @@
+// Command bench measures redwinglock on this machine and compares with bounds. It exits
+// with 1 if a bound is missed.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"redwinglock/internal/bench/capacity"
+)
+
+type capacityArguments struct {
+	Bin  string `arg:"--bin,required" help:"directory of the built programs"`
+	Docs string `arg:"--docs" default:"docs" help:"directory of the page, its tables and plots"`
+}
+
+type arguments struct {
+	Capacity *capacityArguments `arg:"subcommand:capacity" help:"cost of each role, for docs/CAPACITY.md"`
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	var err error
+	switch {
+	case args.Capacity != nil:
+		err = runCapacity(args.Capacity)
+	default:
+		parser.Fail("a subcommand is needed")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+var errMissed = errors.New("a bound is missed")
+
+func runCapacity(args *capacityArguments) error {
+	result, err := capacity.Run(args.Bin, func(line string) { fmt.Println(line) })
+	if err != nil {
+		return err
+	}
+	if err := result.WritePage(args.Docs); err != nil {
+		return err
+	}
+	missed := result.Missed()
+	for _, line := range missed {
+		fmt.Println("missed:", line)
+	}
+	if len(missed) > 0 {
+		return errMissed
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/capacity/config.go
@@ -0,0 +1,149 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"time"
+
+	"redwinglock/internal/control/catalog"
+	"redwinglock/internal/fleet/engine"
+	"redwinglock/internal/platform/store"
+	standinengine "redwinglock/internal/standin/engine"
+	standinstore "redwinglock/internal/standin/store"
+	"redwinglock/internal/state/object"
+)
+
+func accountMemory(size int) (float64, error) { return snapshotMemory(1, size) }
+func targetMemory(size int) (float64, error)  { return snapshotMemory(size, 1) }
+
+// snapshotMemory is the memory of a configuration in force.
+func snapshotMemory(targetCount, accountCount int) (float64, error) {
+	var failed error
+	value := grown(func() any {
+		snapshot, err := snapshotOf(targetCount, accountCount)
+		failed = err
+		return snapshot
+	})
+	return value, failed
+}
+
+func compileCPU(size int) (float64, error) {
+	state, _, err := publish(size)
+	if err != nil {
+		return 0, err
+	}
+	before := cpuTime()
+	if _, err := state.Compile(); err != nil {
+		return 0, err
+	}
+	return float64((cpuTime() - before).Microseconds()), nil
+}
+
+// changeBytes is what a follower reads from the store for a change of one object.
+func changeBytes(size int) (float64, error) {
+	_, bytes, err := publish(size)
+	return float64(bytes), err
+}
+
+// countingKV counts the bytes of the values read.
+type countingKV struct {
+	store.KV
+	bytes int
+}
+
+// Get implements store.KV.
+func (c *countingKV) Get(ctx context.Context, key string) (store.Value, error) {
+	value, err := c.KV.Get(ctx, key)
+	c.bytes += len(value.Data)
+	return value, err
+}
+
+// GetAll implements store.KV.
+func (c *countingKV) GetAll(ctx context.Context, keys []string) ([]store.Value, error) {
+	values, err := c.KV.GetAll(ctx, keys)
+	for _, value := range values {
+		c.bytes += len(value.Data)
+	}
+	return values, err
+}
+
+// publish stores a configuration of the given number of objects, changes one of them,
+// and returns the state and the bytes that a follower reads for the change.
+func publish(size int) (*catalog.State, int, error) {
+	server := httptest.NewServer(standinstore.New())
+	defer server.Close()
+	kv := &countingKV{KV: store.NewEtcd([]string{server.URL}, 10*time.Second)}
+	c := catalog.New(kv, "/bench/")
+	objects, err := objectsOf(size*targets/(targets+accounts), size*accounts/(targets+accounts))
+	if err != nil {
+		return nil, 0, err
+	}
+	ctx := context.Background()
+	change := catalog.Change{ID: "first", Operator: "bench"}
+	for _, o := range objects {
+		spec, err := object.Encode(o)
+		if err != nil {
+			return nil, 0, err
+		}
+		change.Puts = append(change.Puts, object.Entry{Kind: object.KeyOf(o).Kind, Spec: spec})
+	}
+	if _, err := c.Publish(ctx, change); err != nil {
+		return nil, 0, err
+	}
+	known, err := c.Read(ctx, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	changed := &object.Target{Name: "engine-0", Pool: pool, Zone: "zone-0", Address: "http://10.9.9.9:8000", Slots: 1}
+	spec, err := object.Encode(changed)
+	if err != nil {
+		return nil, 0, err
+	}
+	_, err = c.Publish(ctx, catalog.Change{
+		ID: "second", Operator: "bench", Puts: []object.Entry{{Kind: object.KindTarget, Spec: spec}},
+		Base: map[string]object.Revision{"target/engine-0": 1},
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	kv.bytes = 0
+	state, err := c.Read(ctx, known)
+	return state, kv.bytes, err
+}
+
+// streamCPU is the processor time to read the tokens of one stream, with the stand-in
+// that sends them in the same process, so that it is an upper bound.
+func streamCPU(tokens int) (float64, error) {
+	server := httptest.NewServer(standinengine.New(standinengine.Settings{}))
+	defer server.Close()
+	client := engine.New(func() {})
+	before := cpuTime()
+	body := fmt.Appendf(nil, `{"model":"m","max_tokens":%d,"prompt":"x"}`, tokens)
+	stream, err := client.Open(context.Background(), engine.Call{
+		ID: "bench", Address: server.URL, Path: "/v1/completions", Body: body, IdleTimeout: 10 * time.Second,
+	}, func() bool { return true })
+	if err != nil {
+		return 0, err
+	}
+	defer stream.Close()
+	assembler := engine.NewAssembler(false)
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return 0, err
+		}
+		if err := assembler.Count(event); err != nil {
+			return 0, err
+		}
+	}
+	if assembler.Tokens != tokens {
+		return 0, fmt.Errorf("%d tokens, not %d", assembler.Tokens, tokens)
+	}
+	return float64((cpuTime() - before).Microseconds()), client.Close()
+}
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -311,3 +311,6 @@
 	}
 	return nil
 }
+
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
