Cut the control traffic of idle hosts below its budget

Cause: docs/CAPACITY.md showed 5504 B/s (9536 B/s with an arbiter) against 2048 B/s: heartbeats carried addresses each time, every change was read as a whole chunk and an 8 KB head, idle links sent signs of life, and every host read the whole list of hosts. Change: heartbeats name their sender and carry addresses only to peers that lack them, one round a second; followers read the change alone; links without requests close; three hosts read the list of hosts, with a tag, and pass on what is new; the arbiter's clock sleeps while nothing waits; a failed heartbeat is repeated at once, since the same pair meets again only after minutes at 420 members. Ruled out: fewer, larger chunks and more, smaller ones (head and chunk together stay above 14 KB a change at their best).

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,6 +14,7 @@
 
 type capacityArguments struct {
 	Bin  string `arg:"--bin,required" help:"directory of the built programs"`
+	Only string `arg:"--only" help:"measure one series and write nothing"`
 	Docs string `arg:"--docs" default:"docs" help:"directory of the page, its tables and plots"`
 }
 
@@ -40,10 +41,13 @@
 var errMissed = errors.New("a bound is missed")
 
 func runCapacity(args *capacityArguments) error {
-	result, err := capacity.Run(args.Bin, func(line string) { fmt.Println(line) })
+	result, err := capacity.Run(args.Bin, args.Only, func(line string) { fmt.Println(line) })
 	if err != nil {
 		return err
 	}
+	if args.Only != "" {
+		return nil
+	}
 	if err := result.WritePage(args.Docs); err != nil {
 		return err
 	}
--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -45,6 +45,15 @@
 	s.AtFull = s.Intercept + s.Slope*s.FullSize
 }
 
+// highest returns the highest measured value.
+func (s *Series) highest() float64 {
+	highest := 0.0
+	for _, p := range s.Points {
+		highest = max(highest, p.Value)
+	}
+	return highest
+}
+
 // Result is the outcome of all measurements.
 type Result struct {
 	GoVersion string    `json:"go-version"`
@@ -83,9 +92,13 @@
 )
 
 // Run carries out all measurements. bin holds the programs of this repository.
-func Run(bin string, report func(string)) (*Result, error) {
+// If only is not empty, just that series is measured.
+func Run(bin, only string, report func(string)) (*Result, error) {
 	result := &Result{GoVersion: runtime.Version(), CPUs: runtime.NumCPU(), At: time.Now().UTC()}
 	for _, m := range all(bin) {
+		if only != "" && only != m.name {
+			continue
+		}
 		s := Series{Name: m.name, SizeUnit: m.sizeUnit, ValueUnit: m.valueUnit, FullSize: m.fullSize}
 		for _, size := range m.sizes {
 			value, err := m.measure(size)
@@ -95,7 +108,7 @@
 			s.Points = append(s.Points, Point{float64(size), value})
 		}
 		s.fit()
-		report(fmt.Sprintf("%-28s slope %.4g %s per %s, R2 %.3f, at %g: %.4g", s.Name, s.Slope, s.ValueUnit, s.SizeUnit, s.R2, s.FullSize, s.AtFull))
+		report(fmt.Sprintf("%-28s slope %.4g %s per %s, R2 %.3f, at %g: %.4g, points %v", s.Name, s.Slope, s.ValueUnit, s.SizeUnit, s.R2, s.FullSize, s.AtFull, s.Points))
 		result.Series = append(result.Series, s)
 	}
 	return result, nil
@@ -103,13 +116,14 @@
 
 func all(bin string) []measurement {
 	processes := &processMeasurement{bin: bin, done: map[int]processCost{}}
+	members := &groups{settled: map[int]*group{}}
 	return []measurement{
 		{"process-cpu", "processes", "us/s per idle host", []int{2, 4, 8, 16}, nodes, processes.cpu},
 		{"process-memory", "processes", "bytes resident per idle host", []int{2, 4, 8, 16}, nodes, processes.memory},
-		{"heartbeat-bytes", "members", "bytes/s per host", []int{8, 32, 128, nodes}, nodes, heartbeatBytes},
-		{"heartbeat-cpu", "members", "us/s per host", []int{8, 32, 128, nodes}, nodes, heartbeatCPU},
-		{"churn-bytes", "members", "bytes/s per host", []int{8, 32, 128, nodes}, nodes, churnBytes},
-		{"gossip-rounds", "members", "rounds until all know", []int{8, 32, 128, nodes}, nodes, gossipRounds},
+		{"heartbeat-bytes", "members", "bytes/s per host", []int{8, 32, 128, nodes}, nodes, members.heartbeatBytes},
+		{"heartbeat-cpu", "members", "us/s per host", []int{8, 32, 128, nodes}, nodes, members.heartbeatCPU},
+		{"churn-bytes", "members", "bytes/s per host", []int{8, 32, 128, nodes}, nodes, members.churnBytes},
+		{"gossip-rounds", "members", "rounds until all know", []int{8, 32, 128, nodes}, nodes, members.gossipRounds},
 		{"member-memory", "members", "bytes", []int{32, 128, nodes}, nodes, memberMemory},
 		{"link-bytes", "requests", "bytes", []int{500, 2000, 8000}, requestsPerSecond / nodes, linkBytes},
 		{"link-cpu", "requests", "us, both ends", []int{2000, 8000, 32000}, requestsPerSecond / nodes, linkCPU},
@@ -120,6 +134,7 @@
 		{"prefix-memory", "prefixes", "bytes at the arbiter", []int{5000, 20_000, 60_000}, 65_536, prefixMemory},
 		{"compile-cpu", "objects", "us", []int{800, 2500, accounts + targets}, accounts + targets, compileCPU},
 		{"change-bytes", "objects", "bytes read per change", []int{800, 2500, accounts + targets}, accounts + targets, changeBytes},
+		{"poll-bytes", "objects", "bytes read per poll", []int{800, 2500, accounts + targets}, accounts + targets, pollBytes},
 		{"rebuild-time", "waiting requests", "us", []int{1000, 10_000, 50_000}, waitingAtArbiter, rebuildTime},
 		{"stream-cpu", "tokens", "us, front and stand-in", []int{2000, 8000, 32_000}, tokensPerSecond / nodes, streamCPU},
 	}
--- a/internal/bench/capacity/processes.go
+++ b/internal/bench/capacity/processes.go
@@ -15,6 +15,8 @@
 const (
 	// idleTime is how long idle processes are watched.
 	idleTime = 5 * time.Second
+	// quietTime is the pause after the start, in which the hosts learn of each other.
+	quietTime = 6 * time.Second
 	// clockTick is the unit of processor time in /proc.
 	clockTick = 10 * time.Millisecond
 )
@@ -76,6 +78,7 @@
 			return processCost{}, err
 		}
 	}
+	time.Sleep(quietTime)
 	var before time.Duration
 	for _, h := range n.Hosts {
 		spent, err := processorTime(h.PID())
--- a/internal/control/catalog/follower.go
+++ b/internal/control/catalog/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -173,6 +174,9 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state); err != nil {
 		return nil, fmt.Errorf("decode configuration of peer: %w", err)
 	}
+	if len(state.Names) != chunkCount || indexName(state.Names) != state.Head.Index {
+		return nil, errors.New("the configuration of the peer does not match its index")
+	}
 	return &state, nil
 }
 
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -129,33 +130,50 @@
 	sends.Wait()
 }
 
+// probe exchanges heartbeats with a member. If it does not answer it gets a second
+// chance at once, so that one lost message makes nobody suspect.
 func (m *Controller) probe(ctx context.Context, target board.Member) {
 	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval)
 	defer cancel()
+	err := m.exchange(ctx, target)
+	if err != nil && ctx.Err() == nil {
+		err = m.exchange(ctx, target)
+	}
+	if err != nil {
+		m.mu.Lock()
+		m.table.Fail(time.Now(), target.Name)
+		m.mu.Unlock()
+	}
+	m.publish()
+}
+
+func (m *Controller) exchange(ctx context.Context, target board.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval/2)
+	defer cancel()
 	m.mu.Lock()
-	h := m.table.Compose(target.Name, m.revision())
+	h := m.table.Compose(target.Name, m.table.Knows(target.Name), m.revision())
 	m.mu.Unlock()
 	answer, err := m.transport.Send(ctx, target.PeerURL, h)
-	m.mu.Lock()
 	if err != nil {
-		m.table.Fail(time.Now(), target.Name)
-	} else {
-		m.table.Receive(time.Now(), answer)
+		return err
 	}
+	m.mu.Lock()
+	m.table.Receive(time.Now(), answer)
 	m.mu.Unlock()
-	if err == nil {
-		m.nudger.Nudge(answer.Revision, target.PeerURL)
-	}
-	m.publish()
+	m.nudger.Nudge(answer.Revision, target.PeerURL)
+	return nil
 }
 
 // Answer takes the heartbeat of a peer and returns this host's.
 func (m *Controller) Answer(h Heartbeat) Heartbeat {
 	m.mu.Lock()
 	m.table.Receive(time.Now(), h)
-	answer := m.table.Compose(h.From.Member.Name, m.revision())
+	answer := m.table.Compose(h.From, h.Knows, m.revision())
+	peerURL := m.table.PeerURL(h.From)
 	m.mu.Unlock()
-	m.nudger.Nudge(h.Revision, h.From.Member.PeerURL)
+	if peerURL != "" {
+		m.nudger.Nudge(h.Revision, peerURL)
+	}
 	m.publish()
 	return answer
 }
@@ -167,17 +185,40 @@
 	m.publish()
 }
 
-// publish writes the view to the board if it has changed.
+// publish writes the view and the leaving targets to the board if they have changed.
 func (m *Controller) publish() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	view := m.table.View()
-	former := m.board.Members()
-	if slices.Equal(former.Live, view.Live) {
-		return
+	if !slices.Equal(m.board.Members().Live, view.Live) {
+		m.log.WithField("live", len(view.Live)).Info("Members changed.")
+		m.board.SetMembers(view)
+	}
+	leaving := m.table.LeavingTargets()
+	if !sameTargets(m.board.Hosts().LeavingTargets, leaving) {
+		m.log.WithField("leaving", leaving).Info("Leaving targets changed.")
+		m.board.SetHosts(newHosts(leaving))
+	}
+}
+
+func newHosts(leaving []object.TargetName) *board.Hosts {
+	set := make(map[object.TargetName]bool, len(leaving))
+	for _, name := range leaving {
+		set[name] = true
+	}
+	return &board.Hosts{LeavingTargets: set}
+}
+
+func sameTargets(set map[object.TargetName]bool, list []object.TargetName) bool {
+	if len(set) != len(list) {
+		return false
+	}
+	for _, name := range list {
+		if !set[name] {
+			return false
+		}
 	}
-	m.log.WithField("live", len(view.Live)).Info("Members changed.")
-	m.board.SetMembers(view)
+	return true
 }
 
 func (m *Controller) revision() object.Revision {
@@ -187,18 +228,19 @@
 	return 0
 }
 
-// readList reads the platform's list of hosts at intervals.
+// listReaders is the number of hosts that read the platform's list; they pass its news on.
+const listReaders = 3
+
+// readList reads the platform's list of hosts at intervals, on the few hosts that do so
+// for all, and on a host that has no live peer yet.
 func (m *Controller) readList(ctx context.Context) {
 	defer m.done.Done()
 	ticker := time.NewTicker(m.common.Settings.Hosts.Interval)
 	defer ticker.Stop()
 	for {
-		groups, err := m.lister.List(ctx)
-		if err == nil {
-			m.takeList(groups)
-		} else if ctx.Err() == nil {
-			m.common.CountRetry("host-list")
-			m.log.WithError(err).Warn("List of hosts not read.")
+		members := m.board.Members()
+		if len(members.Live) == 1 || members.Ranks("host-list", listReaders) {
+			m.readListOnce(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -208,9 +250,21 @@
 	}
 }
 
+func (m *Controller) readListOnce(ctx context.Context) {
+	groups, err := m.lister.List(ctx)
+	switch {
+	case err == nil:
+		m.takeList(groups)
+	case errors.Is(err, hosts.ErrUnchanged) || ctx.Err() != nil:
+	default:
+		m.common.CountRetry("host-list")
+		m.log.WithError(err).Warn("List of hosts not read.")
+	}
+}
+
 func (m *Controller) takeList(groups []hosts.Group) {
 	var entries []board.Member
-	leaving := map[object.TargetName]bool{}
+	leaving := []object.TargetName{}
 	for _, group := range groups {
 		name := group.Labels[hosts.LabelName]
 		isLeaving := group.Labels[hosts.LabelState] == hosts.StateLeaving
@@ -225,30 +279,16 @@
 			})
 		case hosts.RoleTarget:
 			if isLeaving {
-				leaving[object.TargetName(name)] = true
+				leaving = append(leaving, object.TargetName(name))
 			}
 		}
 	}
+	now := time.Now()
 	m.mu.Lock()
-	m.table.List(time.Now(), entries)
+	m.table.List(now, entries)
+	m.table.SetLeaving(now, leaving)
 	m.mu.Unlock()
 	m.publish()
-	if !sameTargets(m.board.Hosts().LeavingTargets, leaving) {
-		m.log.WithField("leaving", len(leaving)).Info("Leaving targets changed.")
-		m.board.SetHosts(&board.Hosts{LeavingTargets: leaving})
-	}
-}
-
-func sameTargets(a, b map[object.TargetName]bool) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name := range a {
-		if !b[name] {
-			return false
-		}
-	}
-	return true
 }
 
 // HTTPTransport sends heartbeats as JSON over HTTP.
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -33,8 +33,6 @@
 const (
 	// probesPerRound is the number of peers that get a heartbeat in each interval.
 	probesPerRound = 2
-	// maxFailures is the number of failed heartbeats in a row that make a member suspect.
-	maxFailures = 2
 	// suspectRounds is the number of intervals after which a suspect is taken for dead.
 	suspectRounds = 4
 	// maxRumours bounds the news in one heartbeat.
@@ -54,20 +52,39 @@
 	Incarnation uint64       `json:"incarnation"`
 }
 
-// Heartbeat is a message between two members, and also its answer.
+// Heartbeat is a message between two members, and also its answer. It names its sender;
+// the addresses of the sender travel only when the receiver does not know them.
 type Heartbeat struct {
-	From     Rumour          `json:"from"`
+	From        string `json:"from"`
+	Incarnation uint64 `json:"incarnation"`
+	Status      Status `json:"status,omitempty"` // Empty for alive.
+	// Knows is the incarnation of the receiver that the sender knows.
+	Knows uint64 `json:"knows,omitempty"`
+	// Member is set if the receiver does not know this incarnation of the sender.
+	Member   *board.Member   `json:"member,omitempty"`
 	Revision object.Revision `json:"revision"`
 	Rumours  []Rumour        `json:"rumours,omitempty"`
+	// LeavingVersion is the version of the list of leaving targets that the sender has.
+	LeavingVersion int64 `json:"leaving-version,omitempty"`
+	// Leaving is the list itself, set if the receiver is not known to have it.
+	Leaving *LeavingList `json:"leaving,omitempty"`
+}
+
+// LeavingList lists the targets that the platform is about to stop.
+type LeavingList struct {
+	Targets []object.TargetName `json:"targets"`
 }
 
 // entry is what the table knows about one member.
 type entry struct {
 	Rumour
-	failures  int
 	changedAt time.Time
 	sends     int // How often the latest news may still be sent.
 	listed    bool
+	// knows is the incarnation of this host that the member knows.
+	knows uint64
+	// leavingVersion is the list of leaving targets that the member has.
+	leavingVersion int64
 }
 
 // Table is the view of one host. It is not safe for concurrent use and does no I/O.
@@ -76,6 +93,11 @@
 	entries map[string]*entry
 	order   []string // Names in the random order in which they get heartbeats.
 	round   int
+
+	// leaving are the targets that the platform is about to stop. The few hosts that read
+	// the list of hosts give each change a version; the others take the highest.
+	leaving        []object.TargetName
+	leavingVersion int64
 }
 
 // NewTable creates a table. The incarnation must grow from run to run of a host.
@@ -153,13 +175,56 @@
 	rand.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 }
 
-// Compose returns the heartbeat for a member. If the member is not believed alive it is
-// told so, and can prove otherwise.
-func (t *Table) Compose(to string, revision object.Revision) Heartbeat {
-	h := Heartbeat{From: t.self, Revision: revision}
-	if e := t.entries[to]; e != nil && (e.Status == Suspect || e.Status == Dead) {
-		h.Rumours = append(h.Rumours, e.Rumour)
+// Compose returns the heartbeat for a member. knows is the incarnation of this host that
+// the member is known to have, 0 if that is not known. If the member is not believed alive
+// it is told so, and can prove otherwise.
+func (t *Table) Compose(to string, knows uint64, revision object.Revision) Heartbeat {
+	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: revision}
+	if t.self.Status != Alive {
+		h.Status = t.self.Status
+	}
+	if knows != t.self.Incarnation {
+		member := t.self.Member
+		h.Member = &member
+	}
+	if e := t.entries[to]; e != nil {
+		h.Knows = e.Incarnation
+		if e.Status == Suspect || e.Status == Dead {
+			h.Rumours = append(h.Rumours, e.Rumour)
+		}
+	}
+	h.Rumours = append(h.Rumours, t.news(to)...)
+	h.LeavingVersion = t.leavingVersion
+	if e := t.entries[to]; e == nil || e.leavingVersion < t.leavingVersion {
+		h.Leaving = &LeavingList{t.leaving}
+	}
+	return h
+}
+
+// SetLeaving takes the leaving targets from the platform's list.
+func (t *Table) SetLeaving(now time.Time, targets []object.TargetName) {
+	slices.Sort(targets)
+	if slices.Equal(t.leaving, targets) {
+		return
+	}
+	t.leaving = targets
+	t.leavingVersion = max(now.UnixMilli(), t.leavingVersion+1)
+}
+
+// LeavingTargets returns the leaving targets, sorted.
+func (t *Table) LeavingTargets() []object.TargetName { return t.leaving }
+
+// takeLeaving takes the list of leaving targets of a peer if it is newer.
+func (t *Table) takeLeaving(e *entry, h Heartbeat) {
+	e.leavingVersion = h.LeavingVersion
+	if h.Leaving != nil && h.LeavingVersion > t.leavingVersion {
+		t.leaving = h.Leaving.Targets
+		t.leavingVersion = h.LeavingVersion
 	}
+}
+
+// news returns the news that were sent the least so far.
+func (t *Table) news(to string) []Rumour {
 	var fresh []*entry
 	for _, e := range t.entries {
 		if e.sends > 0 && e.Member.Name != to {
@@ -172,22 +237,54 @@
 		}
 		return strings.Compare(a.Member.Name, b.Member.Name)
 	})
+	var news []Rumour
 	for _, e := range fresh[:min(len(fresh), maxRumours)] {
 		e.sends--
-		h.Rumours = append(h.Rumours, e.Rumour)
+		news = append(news, e.Rumour)
 	}
-	return h
+	return news
 }
 
-// Receive takes a heartbeat or its answer: the sender is alive, and its news count.
-func (t *Table) Receive(now time.Time, h Heartbeat) {
-	t.apply(now, h.From)
-	if e := t.entries[h.From.Member.Name]; e != nil {
-		e.failures = 0
+// Knows returns the incarnation of this host that a member was found to know.
+func (t *Table) Knows(name string) uint64 {
+	if e := t.entries[name]; e != nil {
+		return e.knows
+	}
+	return 0
+}
+
+// PeerURL returns the address of a member, empty if it is not known.
+func (t *Table) PeerURL(name string) string {
+	if e := t.entries[name]; e != nil {
+		return e.Member.PeerURL
+	}
+	return ""
+}
+
+// Receive takes a heartbeat or its answer: the sender is alive, and its news count. It
+// reports whether the sender is known by now; if not, it must be asked for its addresses.
+func (t *Table) Receive(now time.Time, h Heartbeat) bool {
+	e := t.entries[h.From]
+	status := h.Status
+	if status == "" {
+		status = Alive
+	}
+	switch {
+	case h.Member != nil:
+		t.apply(now, Rumour{Member: *h.Member, Status: status, Incarnation: h.Incarnation})
+	case e != nil && e.Incarnation != 0:
+		t.apply(now, Rumour{Member: e.Member, Status: status, Incarnation: h.Incarnation})
 	}
 	for _, r := range h.Rumours {
 		t.apply(now, r)
 	}
+	e = t.entries[h.From]
+	if e == nil || e.Incarnation < h.Incarnation {
+		return false
+	}
+	e.knows = h.Knows
+	t.takeLeaving(e, h)
+	return true
 }
 
 // apply takes one piece of news unless what is known is newer.
@@ -209,14 +306,17 @@
 	if !newer {
 		return
 	}
+	expected := e.listed && e.Status == Listed && r.Status == Alive
 	t.set(now, e, r)
+	if expected {
+		e.sends = 0 // Everybody has the list; that a listed host is alive is no news.
+	}
 }
 
 func (t *Table) set(now time.Time, e *entry, r Rumour) {
 	e.Rumour = r
 	e.Member.Leaving = r.Status == Leaving || r.Member.Leaving
 	e.changedAt = now
-	e.failures = 0
 	e.sends = retransmitFactor * bits.Len(uint(len(t.entries)+1))
 }
 
@@ -227,18 +327,15 @@
 	}
 }
 
-// Fail records that a member did not answer a heartbeat.
+// Fail makes a member suspect that did not answer a heartbeat and its repetition.
 func (t *Table) Fail(now time.Time, name string) {
 	e := t.entries[name]
 	if e == nil || e.Status == Dead || e.Status == Suspect || e.Status == Listed {
 		return
 	}
-	e.failures++
-	if e.failures >= maxFailures {
-		r := e.Rumour
-		r.Status = Suspect
-		t.set(now, e, r)
-	}
+	r := e.Rumour
+	r.Status = Suspect
+	t.set(now, e, r)
 }
 
 // Expire takes suspects for dead that have not proved otherwise in time.
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -174,6 +174,7 @@
 	for {
 		changed := c.board.Changed()
 		c.moveAll()
+		c.closeIdle(time.Now())
 		select {
 		case <-c.ctx.Done():
 			return
@@ -183,6 +184,27 @@
 	}
 }
 
+// closeIdle closes the links to other hosts that no request has used for a while.
+func (c *Client) closeIdle(now time.Time) {
+	used := map[link]bool{}
+	c.tickets.Range(func(_, value any) bool {
+		used[value.(*Ticket).currentLink()] = true
+		return true
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for url, l := range c.links {
+		remote, ok := l.(*remoteLink)
+		if !ok || used[l] {
+			continue
+		}
+		if now.Sub(remote.usedAt()) >= c.common.Settings.Peers.LinkIdle {
+			remote.retire()
+			delete(c.links, url)
+		}
+	}
+}
+
 // moveAll registers each ticket with the current arbiter of its pool.
 func (c *Client) moveAll() {
 	c.tickets.Range(func(_, value any) bool {
--- a/internal/peer/arbiter/link.go
+++ b/internal/peer/arbiter/link.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
@@ -78,6 +79,10 @@
 	box    *wire.Outbox[wire.Up]
 	broken atomic.Bool
 	cancel context.CancelFunc
+	// used is when the last message was sent, in nanoseconds since 1970.
+	used atomic.Int64
+	// retired links end because nobody needs them, not because they failed.
+	retired atomic.Bool
 }
 
 func newRemoteLink(c *Client, self wire.HostID, owner board.Member) link {
@@ -90,14 +95,32 @@
 		l.broken.Store(true)
 		l.box.Close()
 		cancel()
-		c.linkFailed(owner.PeerURL, err)
+		if !l.retired.Load() {
+			c.linkFailed(owner.PeerURL, err)
+			return
+		}
+		c.moveAll() // A request may have taken the link while it was being closed.
 	}()
+	l.used.Store(time.Now().UnixNano())
 	return l
 }
 
-func (l *remoteLink) send(message wire.Up) { l.box.Send(message) }
-func (l *remoteLink) failed() bool         { return l.broken.Load() }
-func (l *remoteLink) close()               { l.cancel() }
+func (l *remoteLink) send(message wire.Up) {
+	l.used.Store(time.Now().UnixNano())
+	l.box.Send(message)
+}
+
+func (l *remoteLink) failed() bool { return l.broken.Load() }
+func (l *remoteLink) close()       { l.cancel() }
+
+func (l *remoteLink) usedAt() time.Time { return time.Unix(0, l.used.Load()) }
+
+// retire closes a link that is not needed.
+func (l *remoteLink) retire() {
+	l.retired.Store(true)
+	l.broken.Store(true)
+	l.cancel()
+}
 
 // run opens the stream and serves it until it fails.
 func (l *remoteLink) run(ctx context.Context, self wire.HostID) error {
@@ -116,7 +139,7 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		_ = wire.WriteLoop(writer, func() {}, l.box, peers.HeartbeatInterval, ctx.Done())
+		_ = wire.WriteLoop(writer, func() {}, l.box, peers.LinkInterval, ctx.Done())
 		_ = writer.Close()
 	}()
 	defer func() {
@@ -132,7 +155,7 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("open link: status %d", response.StatusCode)
 	}
-	return wire.ReadLoop(response.Body, peers.HeartbeatTimeout, cancel, func(message wire.Down) {
+	return wire.ReadLoop(response.Body, peers.LinkTimeout, cancel, func(message wire.Down) {
 		l.client.receive(l, message)
 	})
 }
@@ -143,11 +166,11 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP2(true)
-	dialer := &net.Dialer{Timeout: c.Settings.Peers.HeartbeatTimeout}
+	dialer := &net.Dialer{Timeout: c.Settings.Peers.LinkTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:           dialer.DialContext,
 		TLSClientConfig:       config,
 		Protocols:             protocols,
-		ResponseHeaderTimeout: c.Settings.Peers.HeartbeatTimeout,
+		ResponseHeaderTimeout: c.Settings.Peers.LinkTimeout,
 	}}
 }
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -160,6 +160,12 @@
 	t.link.send(wire.Up{Register: &r})
 }
 
+func (t *Ticket) currentLink() link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.link
+}
+
 // move registers the ticket with another arbiter and takes it from the former one.
 func (t *Ticket) move(to link) {
 	t.mu.Lock()
--- a/internal/peer/front/http.go
+++ b/internal/peer/front/http.go
@@ -29,10 +29,10 @@
 	go func() {
 		defer close(written)
 		peers := s.common.Settings.Peers
-		_ = wire.WriteLoop(c.Writer, c.Writer.Flush, box, peers.HeartbeatInterval, c.Request.Context().Done())
+		_ = wire.WriteLoop(c.Writer, c.Writer.Flush, box, peers.LinkInterval, c.Request.Context().Done())
 	}()
 	onSilence := func() { _ = control.SetReadDeadline(time.Now()) }
-	err := wire.ReadLoop(c.Request.Body, s.common.Settings.Peers.HeartbeatTimeout, onSilence, session.Handle)
+	err := wire.ReadLoop(c.Request.Body, s.common.Settings.Peers.LinkTimeout, onSilence, session.Handle)
 	_ = session.Close()
 	<-written
 	log.WithError(err).Info("Front detached.")
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -28,6 +28,9 @@
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 
+	// waiting receives a value when a request begins to wait.
+	waiting chan struct{}
+
 	mu      sync.RWMutex
 	workers map[object.PoolName]*worker
 }
@@ -40,6 +43,7 @@
 		log:     c.Log("arbiter"),
 		board:   b,
 		stop:    stop,
+		waiting: make(chan struct{}, 1),
 		workers: map[object.PoolName]*worker{},
 	}
 	s.done.Add(2)
@@ -55,22 +59,42 @@
 	return nil
 }
 
+// tick passes the time to the shards while any of them has waiting requests. Otherwise
+// it sleeps, because a host arbitrates many pools at times and none at others.
 func (s *Server) tick(ctx context.Context) {
 	defer s.done.Done()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		busy := false
+		for _, w := range s.all() {
+			busy = w.tick(time.Now()) || busy
+		}
+		if !busy {
+			ticker.Stop()
+			select {
+			case <-ctx.Done():
+				return
+			case <-s.waiting:
+			}
+			ticker.Reset(tickInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, w := range s.all() {
-				w.tick(time.Now())
-			}
 		}
 	}
 }
 
+// noteWaiting wakes the clock.
+func (s *Server) noteWaiting() {
+	select {
+	case s.waiting <- struct{}{}:
+	default:
+	}
+}
+
 // follow applies each new configuration to all shards.
 func (s *Server) follow(ctx context.Context) {
 	defer s.done.Done()
@@ -179,6 +203,9 @@
 	defer w.mu.Unlock()
 	w.sessions[r.ID] = s
 	w.carryOut(w.shard.Register(now, r))
+	if w.shard.Waiting() > 0 {
+		s.server.noteWaiting()
+	}
 }
 
 // finish ignores a session that the request no longer belongs to: the front has
@@ -215,12 +242,15 @@
 	}
 }
 
-func (w *worker) tick(now time.Time) {
+// tick reports whether requests are waiting.
+func (w *worker) tick(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.shard.Waiting() > 0 {
-		w.carryOut(w.shard.Tick(now))
+	if w.shard.Waiting() == 0 {
+		return false
 	}
+	w.carryOut(w.shard.Tick(now))
+	return true
 }
 
 // carryOut sends decisions to the fronts that hold the requests.
--- a/internal/platform/hosts/hosts.go
+++ b/internal/platform/hosts/hosts.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -35,10 +36,14 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// Client reads the list.
+// ErrUnchanged says that the list is the same as at the last read.
+var ErrUnchanged = errors.New("list of hosts unchanged")
+
+// Client reads the list. It is not safe for concurrent use.
 type Client struct {
 	url  string
 	http *http.Client
+	etag string // Of the last list that was read.
 }
 
 // New creates a client for the list at the URL.
@@ -52,17 +57,23 @@
 	return nil
 }
 
-// List returns the current list.
+// List returns the current list, or ErrUnchanged if it is as it was at the last read.
 func (c *Client) List(ctx context.Context) ([]Group, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return nil, fmt.Errorf("list hosts: %w", err)
 	}
+	if c.etag != "" {
+		request.Header.Set("If-None-Match", c.etag)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("list hosts: %w", err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return nil, ErrUnchanged
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("list hosts: status %d", response.StatusCode)
 	}
@@ -70,5 +81,6 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&groups); err != nil {
 		return nil, fmt.Errorf("decode list of hosts: %w", err)
 	}
+	c.etag = response.Header.Get("ETag")
 	return groups, nil
 }
--- a/internal/standin/hosts/hosts.go
+++ b/internal/standin/hosts/hosts.go
@@ -2,9 +2,13 @@
 package hosts
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Group is one entry of the list.
@@ -41,7 +45,13 @@
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	content, err := json.Marshal(l.groups)
+	l.mu.Unlock()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(l.groups)
+	w.Header().Set("ETag", fmt.Sprintf("%q", fmt.Sprintf("%x", sha256.Sum256(content))))
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
 }
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -63,10 +63,14 @@
 	TLS       *TLS   `yaml:"tls"`
 	// Key is shared by all entry hosts and proves that a process is one of them.
 	Key string `yaml:"key"`
-	// HeartbeatInterval is the time between two heartbeats. Default 500ms.
+	// HeartbeatInterval is the time between two rounds of heartbeats. Default 1s.
 	HeartbeatInterval time.Duration `yaml:"heartbeat-interval"`
-	// HeartbeatTimeout is the silence after which a link is given up. Default 1500ms.
-	HeartbeatTimeout time.Duration `yaml:"heartbeat-timeout"`
+	// LinkInterval is the time between two signs of life on a link. Default 500ms.
+	LinkInterval time.Duration `yaml:"link-interval"`
+	// LinkTimeout is the silence after which a link is given up. Default 1500ms.
+	LinkTimeout time.Duration `yaml:"link-timeout"`
+	// LinkIdle is the time after which a link without requests is closed. Default 10s.
+	LinkIdle time.Duration `yaml:"link-idle"`
 }
 
 // Operators are the settings of the listener for operators.
@@ -99,7 +103,7 @@
 	Prefix string `yaml:"prefix"`
 	// Timeout bounds one call. Default 1s.
 	Timeout time.Duration `yaml:"timeout"`
-	// PollInterval is the time between two reads of the configuration head. Default 2s.
+	// PollInterval is the time between two reads of the configuration head. Default 15s.
 	PollInterval time.Duration `yaml:"poll-interval"`
 	// ClaimRetention is how long an idempotency key is remembered. Default 24h.
 	ClaimRetention time.Duration `yaml:"claim-retention"`
@@ -169,11 +173,13 @@
 	setDefault(&s.Callers.MaxHeaderBytes, 32<<10)
 	setDefault(&s.Callers.ReadTimeout, 30*time.Second)
 	setDefault(&s.Callers.AddressTTL, 5*time.Second)
-	setDefault(&s.Peers.HeartbeatInterval, 500*time.Millisecond)
-	setDefault(&s.Peers.HeartbeatTimeout, 1500*time.Millisecond)
+	setDefault(&s.Peers.HeartbeatInterval, time.Second)
+	setDefault(&s.Peers.LinkInterval, 500*time.Millisecond)
+	setDefault(&s.Peers.LinkTimeout, 1500*time.Millisecond)
+	setDefault(&s.Peers.LinkIdle, 10*time.Second)
 	setDefault(&s.Store.Prefix, "/redwinglock/")
 	setDefault(&s.Store.Timeout, time.Second)
-	setDefault(&s.Store.PollInterval, 2*time.Second)
+	setDefault(&s.Store.PollInterval, 15*time.Second)
 	setDefault(&s.Store.ClaimRetention, 24*time.Hour)
 	setDefault(&s.Hosts.Interval, time.Second)
 	setDefault(&s.Log.Format, "text")
@@ -230,7 +236,9 @@
 		{s.Callers.ReadTimeout, []string{"callers", "read-timeout"}},
 		{s.Callers.AddressTTL, []string{"callers", "address-ttl"}},
 		{s.Peers.HeartbeatInterval, []string{"peers", "heartbeat-interval"}},
-		{s.Peers.HeartbeatTimeout - 2*s.Peers.HeartbeatInterval, []string{"peers", "heartbeat-timeout"}},
+		{s.Peers.LinkInterval, []string{"peers", "link-interval"}},
+		{s.Peers.LinkTimeout - 2*s.Peers.LinkInterval, []string{"peers", "link-timeout"}},
+		{s.Peers.LinkIdle, []string{"peers", "link-idle"}},
 		{s.Store.Timeout, []string{"store", "timeout"}},
 		{s.Store.PollInterval, []string{"store", "poll-interval"}},
 		{s.Store.ClaimRetention, []string{"store", "claim-retention"}},
