--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -90,6 +90,9 @@
 // preempt cancels one running lower-tier request for each waiting request that has
 // waited for longer than its tier allows, or that would otherwise be out of time.
 func (s *Shard) preempt(now time.Time) {
+	if s.waiting == 0 || !s.anyOpen() {
+		return // No slot that is freed could be used.
+	}
 	for _, tier := range s.tiers {
 		if tier.waiting == 0 || !s.lowerRunning(tier) {
 			continue
@@ -106,8 +109,9 @@
 
 // preemptFor reports whether q was due for preemption.
 func (s *Shard) preemptFor(now time.Time, q *request) bool {
-	due := now.Sub(q.queuedAt) >= q.tier.preemptAfter || s.missesDeadline(now, q)
-	if !due {
+	// A slot takes a while to be freed, so a short deadline is acted on at half time.
+	patience := min(q.tier.preemptAfter, q.giveUpAt.Sub(q.queuedAt)/2)
+	if now.Sub(q.queuedAt) < patience && !s.missesDeadline(now, q) {
 		return false
 	}
 	if q.preemptor {
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -352,8 +352,14 @@
 }
 
 // expire refuses waiting requests that are out of time. A request stays while
-// lower-tier work is still running, because its slot is about to be freed.
+// lower-tier work is still running, because its slot is about to be freed. If no target
+// is open, no slot will be, and all are refused at once.
 func (s *Shard) expire(now time.Time) {
+	if s.waiting > 0 && !s.anyOpen() {
+		for len(s.timers) > 0 {
+			s.refuse(s.timers[0], outcome.NoTarget)
+		}
+	}
 	var held []*request
 	for len(s.timers) > 0 && !now.Before(s.timers[0].giveUpAt) {
 		q := s.timers[0]
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -107,16 +107,14 @@
 func (t *target) observe(now time.Time, f wire.Finish) {
 	t.failures = 0
 	t.probing = false
-	if !t.engine {
-		return
+	if !t.engine || f.DecodeUS == 0 {
+		return // Nothing was learned about the speed.
 	}
-	if f.DecodeUS > 0 {
-		t.samples++
-		if t.samples == 1 {
-			t.decode = float64(f.DecodeUS)
-		}
-		t.decode += speedWeight * (float64(f.DecodeUS) - t.decode)
+	t.samples++
+	if t.samples == 1 {
+		t.decode = float64(f.DecodeUS)
 	}
+	t.decode += speedWeight * (float64(f.DecodeUS) - t.decode)
 	slowStart := f.PromptTokens <= shortPrompt && time.Duration(f.FirstTokenMS)*time.Millisecond > firstTokenGoal
 	slowDecode := time.Duration(f.DecodeUS)*time.Microsecond > decodeGoal
 	if slowStart || slowDecode {
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -254,13 +255,24 @@
 	return response.Body.Close()
 }
 
+// Ports of hosts lie below the range from which the system takes ports of outgoing
+// connections; otherwise a connection could take a port before its host listens on it.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// freeAddress returns an address on loopback that nobody listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // Command runs a command of the program against a host and returns its output.
