--- /dev/null
+++ b/internal/fleet/engine/engine_test.go
@@ -0,0 +1,302 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	standin "redwinglock/internal/standin/engine"
+	"redwinglock/internal/state/outcome"
+)
+
+const (
+	tokens      = 12
+	idleTimeout = 100 * time.Millisecond
+)
+
+func allow() bool { return true }
+
+func callTo(address string) Call {
+	return Call{
+		ID: "request-1", Address: address, Path: "/v1/chat/completions", IdleTimeout: idleTimeout,
+		Body: fmt.Appendf(nil, `{"model":"m","max_tokens":%d,"messages":[]}`, tokens),
+	}
+}
+
+// readAll reads a stream to its end and returns the text.
+func readAll(s *Stream) (string, error) {
+	assembler := NewAssembler(true)
+	for {
+		event, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return assembler.text(), nil
+		}
+		if err != nil {
+			return assembler.text(), err
+		}
+		if err := assembler.Add(event); err != nil {
+			return "", err
+		}
+	}
+}
+
+func (a *Assembler) text() string {
+	if len(a.answer.Choices) == 0 || a.answer.Choices[0].Message.Content == nil {
+		return ""
+	}
+	return *a.answer.Choices[0].Message.Content
+}
+
+func wholeText() string {
+	var text strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&text, "t%d ", i)
+	}
+	return text.String()
+}
+
+func TestStreamFaults(t *testing.T) {
+	// at acts on one event of the first connection.
+	at := func(event int, action standin.Action) func(standin.Connection) standin.Action {
+		return func(c standin.Connection) standin.Action {
+			if c.Nth == 1 && c.Event == event {
+				return action
+			}
+			return standin.Send
+		}
+	}
+	rows := []struct {
+		name     string
+		noResume bool
+		fault    func(standin.Connection) standin.Action
+		resumed  bool
+		outcome  outcome.Outcome // Empty for a whole answer.
+		reason   outcome.Reason
+	}{
+		{name: "no fault"},
+		{name: "no fault, no ids", noResume: true},
+		{name: "connection breaks mid-stream", fault: at(5, standin.Break), resumed: true},
+		{name: "connection goes silent for good", fault: at(5, standin.Hang), resumed: true},
+		{name: "silent before the first event", fault: at(1, standin.Hang), resumed: true},
+		{name: "broken before the first event", fault: at(1, standin.Break), resumed: true},
+		{name: "event sent twice", fault: at(5, standin.Repeat)},
+		{name: "event of another answer", fault: at(5, standin.Stray), outcome: outcome.Incomplete, reason: outcome.TargetInvalidResponse},
+		{name: "break without resume", noResume: true, fault: at(5, standin.Break), outcome: outcome.Incomplete, reason: outcome.TargetLost},
+		{name: "silence without resume", noResume: true, fault: at(5, standin.Hang), outcome: outcome.Incomplete, reason: outcome.TargetLost},
+		{name: "break before the first event without resume", noResume: true, fault: at(1, standin.Break), outcome: outcome.Unknown, reason: outcome.TargetLost},
+		{name: "each connection breaks after one event", resumed: true, fault: func(c standin.Connection) standin.Action {
+			if c.Event > c.Nth && c.Nth < tokens {
+				return standin.Break
+			}
+			return standin.Send
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			engine := standin.New(standin.Settings{NoResume: row.noResume})
+			engine.SetFault(row.fault)
+			server := httptest.NewServer(engine)
+			defer server.Close()
+			var resumes atomic.Int64
+			client := New(func() { resumes.Add(1) })
+			stream, err := client.Open(context.Background(), callTo(server.URL), allow)
+			var text string
+			if err == nil {
+				text, err = readAll(stream)
+				require.NoError(t, stream.Close())
+			}
+			require.Equal(t, row.resumed, resumes.Load() > 0)
+			require.Equal(t, map[string]int{"request-1": 1}, engine.Runs(), "the request ran once")
+			if row.outcome == "" {
+				require.NoError(t, err)
+				require.Equal(t, wholeText(), text)
+				return
+			}
+			require.Error(t, err)
+			require.Equal(t, row.outcome, outcome.Describe(err).Outcome)
+			require.Equal(t, row.reason, outcome.Describe(err).Reason)
+			require.True(t, strings.HasPrefix(wholeText(), text), "no text out of place")
+			require.NoError(t, client.Close())
+		})
+	}
+}
+
+func TestClosedStreamIsCancelledAtTheEngine(t *testing.T) {
+	engine := standin.New(standin.Settings{DecodePerToken: time.Millisecond})
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	client := New(func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	stream, err := client.Open(ctx, callTo(server.URL), allow)
+	require.NoError(t, err)
+	_, err = stream.Next()
+	require.NoError(t, err)
+	cancel()
+	require.NoError(t, stream.Close())
+	require.True(t, engine.Cancelled("request-1"))
+	require.NoError(t, client.Close())
+}
+
+func TestNothingIsSentWithoutPermission(t *testing.T) {
+	engine := standin.New(standin.Settings{})
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	for range 50 {
+		_, err := New(func() {}).Open(context.Background(), callTo(server.URL), func() bool { return false })
+		require.ErrorIs(t, err, ErrNotSent)
+	}
+	require.Empty(t, engine.Runs())
+}
+
+// faultyServer accepts connections and treats each with a function.
+func faultyServer(t *testing.T, treat func(net.Conn)) (string, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	var accepted atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go treat(conn)
+		}
+	}()
+	return "http://" + listener.Addr().String(), &accepted
+}
+
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+func TestConnectionFaultsBeforeTheAnswer(t *testing.T) {
+	refused := httptest.NewServer(http.NotFoundHandler())
+	refused.Close()
+	resetAtOnce, _ := faultyServer(t, reset)
+	resetAfterRequest, _ := faultyServer(t, func(conn net.Conn) {
+		buffer := make([]byte, 4096)
+		_, _ = conn.Read(buffer)
+		reset(conn)
+	})
+	silent, _ := faultyServer(t, func(conn net.Conn) {})
+	rows := []struct {
+		name    string
+		address string
+		notSent bool
+	}{
+		{"connection refused", refused.URL, true},
+		{"reset at once", resetAtOnce, false},
+		{"reset after the request", resetAfterRequest, false},
+		{"accepted and silent", silent, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			gates := 0
+			_, err := New(func() {}).Open(context.Background(), callTo(row.address), func() bool {
+				gates++
+				return true
+			})
+			require.LessOrEqual(t, gates, 1, "the request was sent at most once")
+			if row.notSent {
+				require.ErrorIs(t, err, ErrNotSent)
+				return
+			}
+			require.NotErrorIs(t, err, ErrNotSent)
+			require.Equal(t, outcome.Unknown, outcome.Describe(err).Outcome)
+		})
+	}
+}
+
+// TestStaleConnectionIsNotRetried sends on a kept connection that the engine has closed.
+// The HTTP transport would repeat such a request by itself if it could.
+func TestStaleConnectionIsNotRetried(t *testing.T) {
+	var runs atomic.Int64
+	engine := standin.New(standin.Settings{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && runs.Add(1) == 2 {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				reset(conn)
+			}
+			return
+		}
+		engine.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	client := New(func() {})
+	stream, err := client.Open(context.Background(), callTo(server.URL), allow)
+	require.NoError(t, err)
+	_, err = readAll(stream)
+	require.NoError(t, err)
+	call := callTo(server.URL)
+	call.ID = "request-2"
+	_, err = client.Open(context.Background(), call, allow)
+	require.Equal(t, outcome.Unknown, outcome.Describe(err).Outcome)
+	require.Equal(t, int64(2), runs.Load(), "not repeated")
+}
+
+func TestRejectionIsPassedOn(t *testing.T) {
+	engine := standin.New(standin.Settings{})
+	engine.SetReject(http.StatusBadRequest)
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	_, err := New(func() {}).Open(context.Background(), callTo(server.URL), allow)
+	var rejection *Rejection
+	require.ErrorAs(t, err, &rejection)
+	require.Equal(t, http.StatusBadRequest, rejection.Status)
+	require.Contains(t, string(rejection.Body), "rejected by the engine")
+}
+
+func TestAssemblerMergesChunks(t *testing.T) {
+	rows := []struct {
+		name   string
+		chat   bool
+		events []string
+		want   string
+	}{
+		{
+			"plain", false,
+			[]string{`{"id":"a","model":"m","choices":[{"index":0,"text":"x"}]}`, `{"id":"a","model":"m","choices":[{"index":0,"text":"y","finish_reason":"stop"}]}`},
+			`{"id":"a","object":"text_completion","created":0,"model":"m","choices":[{"index":0,"text":"xy","finish_reason":"stop","logprobs":null}]}`,
+		},
+		{
+			"two choices out of order", true,
+			[]string{`{"id":"a","choices":[{"index":1,"delta":{"content":"b"}}]}`, `{"id":"a","choices":[{"index":0,"delta":{"content":"a"}}]}`},
+			`{"id":"a","object":"chat.completion","created":0,"model":"","choices":[{"index":0,"message":{"role":"assistant","content":"a"},"finish_reason":null,"logprobs":null},{"index":1,"message":{"role":"assistant","content":"b"},"finish_reason":null,"logprobs":null}]}`,
+		},
+		{
+			"tool call in parts", true,
+			[]string{`{"id":"a","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"lay","arguments":"{\"a\""}}]}}]}`, `{"id":"a","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]}}]}`},
+			`{"id":"a","object":"chat.completion","created":0,"model":"","choices":[{"index":0,"message":{"role":"assistant","content":null,"tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"lay","arguments":"{\"a\":1}"}}]},"finish_reason":null,"logprobs":null}]}`,
+		},
+		{
+			"log probabilities", false,
+			[]string{`{"id":"a","choices":[{"index":0,"text":"x","logprobs":{"tokens":["x"]}}]}`, `{"id":"a","choices":[{"index":0,"text":"y","logprobs":{"tokens":["y"]}}]}`},
+			`{"id":"a","object":"text_completion","created":0,"model":"","choices":[{"index":0,"text":"xy","finish_reason":null,"logprobs":{"tokens":["x","y"]}}]}`,
+		},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			a := NewAssembler(row.chat)
+			for _, event := range row.events {
+				require.NoError(t, a.Add(Event{Data: []byte(event)}))
+			}
+			body, err := a.Answer()
+			require.NoError(t, err)
+			require.JSONEq(t, row.want, string(body))
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/arbiter/ticket_test.go
@@ -0,0 +1,283 @@
+package arbiter
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+// fakeLink records what is sent to an arbiter.
+type fakeLink struct {
+	mu   sync.Mutex
+	sent []wire.Up
+	down bool
+}
+
+func (l *fakeLink) send(m wire.Up) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent = append(l.sent, m)
+}
+func (l *fakeLink) failed() bool { return l.down }
+func (l *fakeLink) close()       {}
+
+// last returns the latest message.
+func (l *fakeLink) last() wire.Up { return l.sent[len(l.sent)-1] }
+
+// newTestTicket returns a waiting ticket that is registered over a fake link.
+func newTestTicket() (*Client, *Ticket, *fakeLink) {
+	c := &Client{common: common.Discard()}
+	l := &fakeLink{}
+	t := newTicket(c, wire.Register{ID: "r-1", Pool: "layout"}, time.Now())
+	t.link = l
+	c.tickets.Store(t.id, t)
+	return c, t, l
+}
+
+func grantOf(target object.TargetName) wire.Down {
+	return wire.Down{Grant: &wire.Grant{ID: "r-1", Target: target}}
+}
+
+func TestTicketIsDispatchedAtMostOnce(t *testing.T) {
+	rows := []struct {
+		name string
+		// play delivers messages and returns how many dispatches succeeded.
+		play func(c *Client, ticket *Ticket, l *fakeLink) int
+		want int
+	}{
+		{"no grant", func(_ *Client, ticket *Ticket, _ *fakeLink) int { return dispatches(ticket) }, 0},
+		{"one grant", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, grantOf("a"))
+			return dispatches(ticket)
+		}, 1},
+		{"grant doubled", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, grantOf("a"))
+			n := dispatches(ticket)
+			c.receive(l, grantOf("a"))
+			return n + dispatches(ticket)
+		}, 1},
+		{"grant for another target after the dispatch", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, grantOf("a"))
+			n := dispatches(ticket)
+			c.receive(l, grantOf("b"))
+			return n + dispatches(ticket)
+		}, 1},
+		{"grant of the former arbiter arrives late", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			ticket.move(&fakeLink{})
+			c.receive(l, grantOf("a"))
+			return dispatches(ticket)
+		}, 0},
+		{"two arbiters grant", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, grantOf("a"))
+			next := &fakeLink{}
+			ticket.move(next)
+			c.receive(next, grantOf("b"))
+			return dispatches(ticket)
+		}, 1},
+		{"refusal after the grant", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, grantOf("a"))
+			c.receive(l, wire.Down{Refuse: &wire.Refuse{ID: "r-1", Reason: outcome.QueueFull}})
+			return dispatches(ticket)
+		}, 1},
+		{"grant after the refusal", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, wire.Down{Refuse: &wire.Refuse{ID: "r-1", Reason: outcome.QueueFull}})
+			c.receive(l, grantOf("a"))
+			return dispatches(ticket)
+		}, 0},
+		{"grant after the end", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			ticket.Finish(wire.Finish{})
+			c.receive(l, grantOf("a"))
+			return dispatches(ticket)
+		}, 0},
+		{"returned and granted again", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, grantOf("a"))
+			<-ticket.decision
+			ticket.Unreachable()
+			n := dispatches(ticket)
+			c.receive(l, grantOf("b"))
+			return n + dispatches(ticket)
+		}, 1},
+		{"returned after the dispatch", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			c.receive(l, grantOf("a"))
+			n := dispatches(ticket)
+			ticket.Unreachable()
+			c.receive(l, grantOf("b"))
+			return n + dispatches(ticket)
+		}, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c, ticket, l := newTestTicket()
+			require.Equal(t, row.want, row.play(c, ticket, l))
+		})
+	}
+}
+
+// dispatches tries to dispatch from many goroutines and counts the successes.
+func dispatches(ticket *Ticket) int {
+	var mu sync.Mutex
+	var tries sync.WaitGroup
+	n := 0
+	for range 8 {
+		tries.Go(func() {
+			if ticket.Dispatch() {
+				mu.Lock()
+				n++
+				mu.Unlock()
+			}
+		})
+	}
+	tries.Wait()
+	return n
+}
+
+func TestMoveTellsBothArbiters(t *testing.T) {
+	rows := []struct {
+		name  string
+		grant bool
+		old   func(wire.Up) bool
+		phase wire.Phase
+	}{
+		{"waiting", false, func(m wire.Up) bool { return m.Withdraw != nil }, wire.Waiting},
+		{"running", true, func(m wire.Up) bool { return m.Finish != nil && !m.Finish.Dispatched }, wire.Running},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c, ticket, l := newTestTicket()
+			if row.grant {
+				c.receive(l, grantOf("a"))
+			}
+			next := &fakeLink{}
+			ticket.move(next)
+			require.True(t, row.old(l.last()))
+			require.Equal(t, row.phase, next.last().Register.Phase)
+			require.True(t, next.last().Register.Moved)
+		})
+	}
+}
+
+func TestCancelReachesOnlyARunningRequest(t *testing.T) {
+	c, ticket, l := newTestTicket()
+	c.receive(l, wire.Down{Cancel: &wire.Cancel{ID: "r-1"}})
+	select {
+	case <-ticket.Preempted():
+		require.Fail(t, "a waiting request was cancelled")
+	default:
+	}
+	c.receive(l, grantOf("a"))
+	c.receive(&fakeLink{}, wire.Down{Cancel: &wire.Cancel{ID: "r-1"}})
+	c.receive(l, wire.Down{Cancel: &wire.Cancel{ID: "r-1"}})
+	c.receive(l, wire.Down{Cancel: &wire.Cancel{ID: "r-1"}})
+	<-ticket.Preempted()
+}
+
+// hostSetup is a client with its own arbiter, without a network.
+type hostSetup struct {
+	client *Client
+	server *front.Server
+	board  *board.Board
+}
+
+func newHostSetup(t *testing.T, slots int) hostSetup {
+	objects := []object.Object{
+		&object.Account{Name: "a", Tiers: []object.TierName{"urgent"}, KeyHashes: []string{object.HashKey("k")}},
+		&object.Tier{Name: "urgent", Priority: 1, QueueTimeout: object.Duration(5 * time.Second)},
+		&object.Pool{Name: "layout", Type: object.EnginePool},
+		&object.Target{Name: "engine-1", Pool: "layout", Zone: "z", Address: "http://h:1", Slots: slots},
+	}
+	snapshot, err := object.Compile(1, "", objects)
+	require.NoError(t, err)
+	b := board.New(board.Member{Name: "entry-1", Run: "run-1"})
+	b.SetConfig(snapshot)
+	c := common.Discard()
+	server := front.New(c, b)
+	return hostSetup{client: New(c, b, server, &http.Client{}), server: server, board: b}
+}
+
+func (h hostSetup) close(t *testing.T) {
+	require.NoError(t, h.client.Close())
+	require.NoError(t, h.server.Close())
+}
+
+func (h hostSetup) register(i int, deadline time.Duration) *Ticket {
+	r := wire.Register{ID: wire.RequestID(fmt.Sprint(i)), Pool: "layout", Account: "a", Tier: "urgent", PromptTokens: 1, DeadlineMS: deadline.Milliseconds()}
+	return h.client.Register(r)
+}
+
+func TestWaitEndsWithOneFinalAnswer(t *testing.T) {
+	rows := []struct {
+		name   string
+		ctx    func() (context.Context, context.CancelFunc)
+		after  time.Duration // When the answer comes.
+		reason outcome.Reason
+	}{
+		{"queue time-out of the tier", func() (context.Context, context.CancelFunc) { return context.WithCancel(context.Background()) }, 5 * time.Second, outcome.QueueTimeout},
+		{"deadline of the caller", func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), time.Second)
+		}, time.Second, outcome.DeadlinePassed},
+		{"caller gone", func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(time.Second, cancel)
+			return ctx, cancel
+		}, time.Second, outcome.CallerGone},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHostSetup(t, 1)
+				defer h.close(t)
+				first := h.register(1, 0)
+				_, err := h.client.Wait(context.Background(), first)
+				require.NoError(t, err)
+
+				ctx, cancel := row.ctx()
+				defer cancel()
+				began := time.Now()
+				_, err = h.client.Wait(ctx, h.register(2, 0))
+				failure := outcome.Describe(err)
+				require.Equal(t, row.reason, failure.Reason)
+				require.Equal(t, outcome.NotRun, failure.Outcome)
+				require.InDelta(t, row.after.Seconds(), time.Since(began).Seconds(), 0.05)
+			})
+		})
+	}
+}
+
+func TestFinishedRequestFreesItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHostSetup(t, 1)
+		defer h.close(t)
+		for i := range 20 {
+			ticket := h.register(i, 0)
+			target, err := h.client.Wait(context.Background(), ticket)
+			require.NoError(t, err)
+			require.Equal(t, object.TargetName("engine-1"), target)
+			require.True(t, ticket.Dispatch())
+			ticket.Finish(wire.Finish{Completed: true})
+		}
+	})
+}
+
+func TestUnknownPoolIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHostSetup(t, 1)
+		defer h.close(t)
+		began := time.Now()
+		_, err := h.client.Wait(context.Background(), h.client.Register(wire.Register{ID: "x", Pool: "gone", Account: "a", Tier: "urgent"}))
+		require.Equal(t, outcome.NoTarget, outcome.Describe(err).Reason)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+	})
+}
