--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -216,8 +216,8 @@
 	return operator.New(p.Common, p.Board, p.Catalog, p.Follower, p.Callers.Active, p.Metrics)
 }
 
-// process is a running host.
-type process struct {
+// entryHost is a running host.
+type entryHost struct {
 	common    *common.Common
 	log       *logrus.Entry
 	board     *board.Board
@@ -230,7 +230,7 @@
 func run(lc fx.Lifecycle, c *common.Common, b *board.Board, members *member.Controller, follower *catalog.Follower,
 	arbiters *front.Server, callers *caller.Server, operators *operator.Server,
 ) {
-	p := &process{common: c, log: c.Log("host"), board: b, members: members, callers: callers}
+	p := &entryHost{common: c, log: c.Log("host"), board: b, members: members, callers: callers}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			s := c.Settings
@@ -251,7 +251,7 @@
 	})
 }
 
-func (p *process) open(address string, certificates *settings.TLS, server *http.Server) error {
+func (p *entryHost) open(address string, certificates *settings.TLS, server *http.Server) error {
 	l, err := listen(address, certificates, server)
 	if err != nil {
 		return err
@@ -262,7 +262,7 @@
 
 // stop withdraws the address, serves callers that still know it, then waits for the
 // requests in flight. Peers take over the pools as soon as they learn of the stop.
-func (p *process) stop(ctx context.Context) error {
+func (p *entryHost) stop(ctx context.Context) error {
 	p.log.Info("Stop began.")
 	p.board.SetStopping()
 	p.members.Leave(ctx)
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -142,6 +142,21 @@
 	return n, nil
 }
 
+// Freeze stops a stand-in from answering, with its connections open.
+func (n *Installation) Freeze(name string) error { return n.signal(name, syscall.SIGSTOP) }
+
+// Thaw lets a frozen stand-in go on.
+func (n *Installation) Thaw(name string) error { return n.signal(name, syscall.SIGCONT) }
+
+func (n *Installation) signal(name string, s syscall.Signal) error {
+	for _, p := range n.processes {
+		if p.Name == name {
+			return p.Signal(s)
+		}
+	}
+	return fmt.Errorf("no process %s", name)
+}
+
 // Close ends all processes.
 func (n *Installation) Close() error {
 	for _, p := range n.processes {
