Replace connections between hosts that have gone silent

Cause: an HTTP/2 connection that went silent for good was used again for every later heartbeat and link, so its peer looked dead although new connections worked. Ruled out: closing idle connections after an error (the stuck stream keeps the connection from being idle, the test still failed); pings on all connections (about 1.9 KB/s at 420 peers every 15 s, the budget is 2 KB/s for everything). Change: a request that fails otherwise than by dialling makes the client start over.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -10,6 +10,7 @@
 	"github.com/alexflint/go-arg"
 
 	"redwinglock/internal/bench/capacity"
+	"redwinglock/internal/bench/decisions"
 )
 
 type capacityArguments struct {
@@ -18,8 +19,13 @@
 	Docs string `arg:"--docs" default:"docs" help:"directory of the page, its tables and plots"`
 }
 
+type decisionsArguments struct {
+	Seeds int `arg:"--seeds" default:"3" help:"number of seeds"`
+}
+
 type arguments struct {
-	Capacity *capacityArguments `arg:"subcommand:capacity" help:"cost of each role, for docs/CAPACITY.md"`
+	Capacity  *capacityArguments  `arg:"subcommand:capacity" help:"cost of each role, for docs/CAPACITY.md"`
+	Decisions *decisionsArguments `arg:"subcommand:decisions" help:"order, shares and placement under load"`
 }
 
 func main() {
@@ -29,6 +35,8 @@
 	switch {
 	case args.Capacity != nil:
 		err = runCapacity(args.Capacity)
+	case args.Decisions != nil:
+		err = runDecisions(args.Decisions)
 	default:
 		parser.Fail("a subcommand is needed")
 	}
@@ -60,3 +68,14 @@
 	}
 	return nil
 }
+
+func runDecisions(args *decisionsArguments) error {
+	missed, err := decisions.Run(os.Stdout, args.Seeds)
+	if err != nil {
+		return err
+	}
+	if missed > 0 {
+		return errMissed
+	}
+	return nil
+}
--- a/internal/bench/capacity/arbiter.go
+++ b/internal/bench/capacity/arbiter.go
@@ -15,6 +15,7 @@
 
 	"redwinglock/internal/peer/arbiter"
 	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/pool/shard"
 	"redwinglock/internal/state/board"
@@ -170,21 +171,30 @@
 	return n, err
 }
 
-// countedClient returns a client as hosts use it among themselves that counts its bytes.
-func countedClient(bytes *atomic.Int64) (*http.Client, error) {
-	client := arbiter.NewHTTPClient(common.Discard(), nil)
-	transport, ok := client.Transport.(*http.Transport)
-	if !ok {
-		return nil, errors.New("unexpected transport")
-	}
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return countingConn{conn, bytes}, nil
+// countingListener counts the bytes of the connections it accepts.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, fmt.Errorf("accept: %w", err)
 	}
-	return client, nil
+	return countingConn{conn, l.bytes}, nil
+}
+
+// newCountedServer starts a server as hosts run it for their peers.
+func newCountedServer(handler http.Handler, bytes *atomic.Int64) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener = countingListener{server.Listener, bytes}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols = protocols
+	server.Start()
+	return server
 }
 
 // linkPair is a front and an arbiter that talk over a real connection on loopback.
@@ -210,11 +220,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.POST(wire.LinkPath, p.remote.ServeLink)
-	p.server = httptest.NewUnstartedServer(router)
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	p.server.Config.Protocols = protocols
-	p.server.Start()
+	p.server = newCountedServer(router, &p.bytes)
 
 	self := board.Member{Name: "front", Run: "front-1"}
 	frontBoard := board.New(self)
@@ -222,12 +228,8 @@
 	// The front is leaving in its own view, so the arbiter is always the other member.
 	self.Leaving = true
 	frontBoard.SetMembers(&board.Members{Self: self, Live: []board.Member{self, {Name: "arbiter", PeerURL: p.server.URL}}})
-	peers, err := countedClient(&p.bytes)
-	if err != nil {
-		return nil, err
-	}
 	p.local = front.New(c, frontBoard)
-	p.client = arbiter.New(c, frontBoard, p.local, peers)
+	p.client = arbiter.New(c, frontBoard, p.local, http2.New(c.Settings.Peers.LinkTimeout, nil))
 	return p, nil
 }
 
@@ -305,7 +307,7 @@
 	self := board.Member{Name: "front", Run: "front-1", Leaving: true}
 	b.SetMembers(&board.Members{Self: self, Live: []board.Member{self}})
 	local := front.New(c, b)
-	client := arbiter.New(c, b, local, arbiter.NewHTTPClient(c, nil))
+	client := arbiter.New(c, b, local, http2.New(c.Settings.Peers.LinkTimeout, nil))
 	value := grown(func() any {
 		tickets := make([]*arbiter.Ticket, 0, size)
 		for i := range size {
--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime"
 	"syscall"
 	"time"
@@ -42,6 +43,9 @@
 	}
 	s.Intercept, s.Slope = stat.LinearRegression(sizes, values, nil, false)
 	s.R2 = stat.RSquared(sizes, values, nil, s.Intercept, s.Slope)
+	if math.IsNaN(s.R2) {
+		s.R2 = 1 // All values are equal; the line goes through them.
+	}
 	s.AtFull = s.Intercept + s.Slope*s.FullSize
 }
 
--- a/internal/bench/capacity/membership.go
+++ b/internal/bench/capacity/membership.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"time"
 
 	"redwinglock/internal/control/member"
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/object"
 )
@@ -233,21 +233,14 @@
 func exchangeOverhead() (int, error) {
 	self := memberOf(0)
 	answer := member.Heartbeat{From: "entry-1", Incarnation: 1}
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	var bytes atomic.Int64
+	server := newCountedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(answer)
-	}))
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	server.Config.Protocols = protocols
-	server.Start()
+	}), &bytes)
 	defer server.Close()
-	var bytes atomic.Int64
-	client, err := countedClient(&bytes)
-	if err != nil {
-		return 0, err
-	}
-	defer client.CloseIdleConnections()
+	client := http2.New(time.Second, nil)
+	defer client.Close()
 	transport := &member.HTTPTransport{Client: client, Key: "a-key-of-common-length"}
 	request := member.Heartbeat{From: self.Name, Incarnation: 1}
 	const exchanges = 20
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -27,6 +27,7 @@
 	"redwinglock/internal/fleet/service"
 	"redwinglock/internal/peer/arbiter"
 	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/platform/claims"
 	"redwinglock/internal/platform/hosts"
@@ -161,7 +162,7 @@
 		return nil, err
 	}
 	lister := hosts.New(c.Settings.Hosts.URL)
-	transport := &member.HTTPTransport{Client: arbiter.NewHTTPClient(c, config), Key: c.Settings.Peers.Key}
+	transport := &member.HTTPTransport{Client: http2.New(c.Settings.Peers.LinkTimeout, config), Key: c.Settings.Peers.Key}
 	m := member.NewController(c, b, transport, lister, f)
 	lc.Append(fx.StopHook(func() error { return errors.Join(m.Close(), lister.Close()) }))
 	return m, nil
@@ -178,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := arbiter.New(c, b, local, arbiter.NewHTTPClient(c, config))
+	client := arbiter.New(c, b, local, http2.New(c.Settings.Peers.LinkTimeout, config))
 	lc.Append(fx.StopHook(client.Close))
 	return client, nil
 }
--- a/internal/control/host/process_test.go
+++ b/internal/control/host/process_test.go
@@ -206,6 +206,13 @@
 	}
 }
 
+// hold keeps the engine from answering until release, so that requests stay where they
+// are while a fault is brought about.
+func (s *site) hold() { require.Equal(s.t, http.StatusOK, process.Status(s.engine+"/standin/hold")) }
+func (s *site) release() {
+	require.Equal(s.t, http.StatusOK, process.Status(s.engine+"/standin/release"))
+}
+
 // requireRunOnce checks that the engine ran each request once, and how many.
 func (s *site) requireRunOnce(want int) {
 	var runs map[string]int
@@ -230,13 +237,15 @@
 			s := newSite(t, 3, 2)
 			arbiter, others := s.arbiter()
 			const each = 10
+			s.hold()
 			l := s.send(others, each)
 			s.awaitInFlight(others, each)
 			require.NoError(t, arbiter.Signal(row.fault))
+			s.awaitMembers(others, len(others))
 			if row.resumed {
-				s.awaitMembers(others, len(others))
 				require.NoError(t, arbiter.Signal(syscall.SIGCONT))
 			}
+			s.release()
 			l.wait.Wait()
 			require.Empty(t, l.failed)
 			s.requireRunOnce(len(others) * each)
@@ -252,9 +261,12 @@
 	s := newSite(t, 3, 2)
 	arbiter, _ := s.arbiter()
 	const each = 6
+	s.hold()
 	l := s.send(s.Hosts, each)
 	s.awaitInFlight(s.Hosts, each)
 	require.NoError(t, arbiter.Signal(syscall.SIGTERM))
+	require.NoError(t, process.Until("stop is known", func() bool { return s.status(s.Hosts[0]).Arbiters["layout"] != arbiter.Name }))
+	s.release()
 	require.NoError(t, arbiter.Wait())
 	l.wait.Wait()
 	require.Empty(t, l.failed)
@@ -281,6 +293,7 @@
 
 func TestDrainedTargetGetsNoNewWork(t *testing.T) {
 	s := newSite(t, 2, 2)
+	s.hold()
 	l := s.send(s.Hosts, 1)
 	s.awaitInFlight(s.Hosts, 1)
 	_, err := s.Command(s.Hosts[0], "drain", "engine-1")
@@ -294,6 +307,7 @@
 	var detail struct{ Outcome, Reason string }
 	require.NoError(t, json.Unmarshal([]byte(typed.RawJSON()), &detail))
 	require.Equal(t, "no-target", detail.Reason)
+	s.release()
 	l.wait.Wait()
 	require.Empty(t, l.failed, "work in flight ends as usual")
 	_, err = s.Command(s.Hosts[1], "undrain", "engine-1")
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/platform/hosts"
 	"redwinglock/internal/state/board"
@@ -293,7 +294,7 @@
 
 // HTTPTransport sends heartbeats as JSON over HTTP.
 type HTTPTransport struct {
-	Client *http.Client
+	Client *http2.Client
 	Key    string
 }
 
--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -24,6 +24,7 @@
 	"redwinglock/internal/fleet/service"
 	"redwinglock/internal/peer/arbiter"
 	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/platform/claims"
 	"redwinglock/internal/platform/store"
 	standinengine "redwinglock/internal/standin/engine"
@@ -77,7 +78,7 @@
 	s.board = board.New(board.Member{Name: "entry-1", Run: "run-1", CallerURL: "http://entry-1"})
 	s.board.SetConfig(s.snapshot(engineURL, serve(s.service), o))
 	frontServer := front.New(c, s.board)
-	arbiters := arbiter.New(c, s.board, frontServer, &http.Client{})
+	arbiters := arbiter.New(c, s.board, frontServer, http2.New(time.Second, nil))
 	engines := engine.New(func() {})
 	held := claims.New(kv, "/test/", time.Hour)
 	s.server = New(c, s.board, arbiters, engines, service.New(), held)
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
@@ -31,7 +31,7 @@
 	log     *logrus.Entry
 	board   *board.Board
 	local   *front.Server
-	http    *http.Client
+	http    *http2.Client
 	tickets sync.Map // wire.RequestID to *Ticket.
 
 	mu       sync.RWMutex
@@ -44,7 +44,7 @@
 }
 
 // New creates a client. The local server is used for pools that this process arbitrates.
-func New(c *common.Common, b *board.Board, local *front.Server, peers *http.Client) *Client {
+func New(c *common.Common, b *board.Board, local *front.Server, peers *http2.Client) *Client {
 	ctx, stop := context.WithCancel(context.Background())
 	client := &Client{
 		common:   c,
@@ -71,8 +71,7 @@
 	}
 	c.mu.Unlock()
 	c.done.Wait()
-	c.http.CloseIdleConnections()
-	return nil
+	return c.http.Close()
 }
 
 // Register creates a ticket and registers it with the arbiter of its pool.
--- a/internal/peer/arbiter/link.go
+++ b/internal/peer/arbiter/link.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
-	"redwinglock/internal/state/common"
 )
 
 // link carries messages to one arbiter and decisions back. It does not reconnect: a
@@ -92,6 +89,9 @@
 	go func() {
 		defer c.done.Done()
 		err := l.run(ctx, self)
+		if !l.retired.Load() {
+			c.http.Renew() // The connection may have gone silent for good.
+		}
 		l.broken.Store(true)
 		l.box.Close()
 		cancel()
@@ -159,18 +159,3 @@
 		l.client.receive(l, message)
 	})
 }
-
-// NewHTTPClient creates a client for other entry hosts. It multiplexes streams over
-// HTTP/2, also without TLS.
-func NewHTTPClient(c *common.Common, config *tls.Config) *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	protocols.SetHTTP2(true)
-	dialer := &net.Dialer{Timeout: c.Settings.Peers.LinkTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
-		TLSClientConfig:       config,
-		Protocols:             protocols,
-		ResponseHeaderTimeout: c.Settings.Peers.LinkTimeout,
-	}}
-}
--- a/internal/peer/arbiter/ticket_test.go
+++ b/internal/peer/arbiter/ticket_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
@@ -204,7 +204,7 @@
 	b.SetConfig(snapshot)
 	c := common.Discard()
 	server := front.New(c, b)
-	return hostSetup{client: New(c, b, server, &http.Client{}), server: server, board: b}
+	return hostSetup{client: New(c, b, server, http2.New(time.Second, nil)), server: server, board: b}
 }
 
 func (h hostSetup) close(t *testing.T) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -49,6 +49,8 @@
 	cancelled map[string]bool
 	fault     func(Connection) Action
 	reject    int
+	// held is not nil while answers wait to begin; it is closed to let them.
+	held chan struct{}
 }
 
 type stream struct {
@@ -82,6 +84,23 @@
 	e.reject = status
 }
 
+// Hold keeps new answers from beginning until Release.
+func (e *Engine) Hold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = make(chan struct{})
+}
+
+// Release lets held answers begin.
+func (e *Engine) Release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held != nil {
+		close(e.held)
+		e.held = nil
+	}
+}
+
 // Runs returns how often each request was run, by request id.
 func (e *Engine) Runs() map[string]int {
 	e.mu.Lock()
@@ -106,6 +125,10 @@
 	switch {
 	case r.URL.Path == "/standin/runs":
 		_ = json.NewEncoder(w).Encode(e.Runs())
+	case r.URL.Path == "/standin/hold":
+		e.Hold()
+	case r.URL.Path == "/standin/release":
+		e.Release()
 	case isStream && r.Method == http.MethodDelete:
 		e.cancel(id)
 	case isStream:
@@ -184,6 +207,12 @@
 
 // generate produces the events of an answer, whoever listens.
 func (e *Engine) generate(s *stream, tokens int) {
+	e.mu.Lock()
+	held := e.held
+	e.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	time.Sleep(time.Duration(s.prompt) * e.settings.PrefillPerToken)
 	for i := range tokens {
 		if i > 0 {
