Keep order at a new arbiter, refuse at once in outages, measure the costs of a decision

Cause: a waiting request was removed from its account's queue in linear time; a new arbiter lost the order of arrival; with all targets unreachable a request waited for its deadline; with the store down each non-idempotent request took up to three time-outs and left a background release behind. Change: queues are linked lists ordered by arrival; requests that cannot outwait the next attempt at any target are refused as no-target; claims rest for a second after an outage. Ruled out: refusing as soon as all targets fail (a restart of the only target is common).

--- a/internal/bench/capacity/config.go
+++ b/internal/bench/capacity/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -106,6 +107,9 @@
 	if _, err := c.Publish(ctx, change); err != nil {
 		return nil, read, err
 	}
+	if err := fillHead(ctx, c); err != nil {
+		return nil, read, err
+	}
 	known, err := c.Read(ctx, nil)
 	if err != nil {
 		return nil, read, err
@@ -134,6 +138,29 @@
 	return state, read, err
 }
 
+// headChanges is more than the number of change ids that the head remembers.
+const headChanges = 20
+
+// fillHead publishes changes until the head is as long as it gets. Ids are as long as
+// those of the command line.
+func fillHead(ctx context.Context, c *catalog.Catalog) error {
+	for i := range headChanges {
+		account := &object.Account{
+			Name: object.AccountName(fmt.Sprint("filler-", i)), Tiers: []object.TierName{"urgent"},
+			KeyHashes: []string{object.HashKey(fmt.Sprint("filler", i))},
+		}
+		spec, err := object.Encode(account)
+		if err != nil {
+			return err
+		}
+		change := catalog.Change{ID: catalog.ChangeID(rand.Text()), Puts: []object.Entry{{Kind: object.KindAccount, Spec: spec}}}
+		if _, err := c.Publish(ctx, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // streamCPU is the processor time to read the tokens of one stream, with the stand-in
 // that sends them in the same process, so that it is an upper bound.
 func streamCPU(tokens int) (float64, error) {
--- a/internal/entry/caller/claim.go
+++ b/internal/entry/caller/claim.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"time"
 
@@ -45,7 +46,9 @@
 	other, err := s.claims.Acquire(ctx, held.key, held.token, held.fingerprint)
 	if err != nil {
 		r.log.WithError(err).Warn("Claim not confirmed.")
-		s.claims.Release(held.key, held.token, held.fingerprint)
+		if !errors.Is(err, claims.ErrNotAsked) {
+			s.claims.Release(held.key, held.token, held.fingerprint)
+		}
 		return nil, false, outcome.Refuse(outcome.StoreUnavailable, storeRetryAfter, "the idempotency key cannot be claimed now")
 	}
 	if other == nil {
--- a/internal/fleet/engine/engine_test.go
+++ b/internal/fleet/engine/engine_test.go
@@ -89,6 +89,8 @@
 		{name: "connection goes silent for good", fault: at(5, standin.Hang), resumed: true},
 		{name: "silent before the first event", fault: at(1, standin.Hang), resumed: true},
 		{name: "broken before the first event", fault: at(1, standin.Break), resumed: true},
+		{name: "connection ends before the answer does", fault: at(5, standin.End), resumed: true},
+		{name: "end before the answer without resume", noResume: true, fault: at(5, standin.End), outcome: outcome.Incomplete, reason: outcome.TargetLost},
 		{name: "event sent twice", fault: at(5, standin.Repeat)},
 		{name: "event of another answer", fault: at(5, standin.Stray), outcome: outcome.Incomplete, reason: outcome.TargetInvalidResponse},
 		{name: "break without resume", noResume: true, fault: at(5, standin.Break), outcome: outcome.Incomplete, reason: outcome.TargetLost},
--- a/internal/platform/claims/claims.go
+++ b/internal/platform/claims/claims.go
@@ -24,6 +24,9 @@
 	// resolveAttempts is how often a claim whose answer was lost is tried again.
 	resolveAttempts = 3
 	resolveBackoff  = 50 * time.Millisecond
+	// outageRest is how long the store is not asked for claims after it did not answer,
+	// so that requests are refused at once instead of after a time-out each.
+	outageRest = time.Second
 	// recordAttempts and recordBackoff bound the writing of results in the background.
 	recordAttempts = 60
 	recordBackoff  = time.Second
@@ -34,6 +37,10 @@
 	MaxAnswerBytes = 64 << 10
 )
 
+// ErrNotAsked says that the store was not asked because it did not answer a moment ago.
+// No claim was written, so none need be released.
+var ErrNotAsked = fmt.Errorf("store not asked: %w", store.ErrUnavailable)
+
 // State is the state of a claim.
 type State string
 
@@ -83,6 +90,9 @@
 	stop      context.CancelFunc
 	done      sync.WaitGroup
 
+	// restUntil is the end of the rest after an outage, in nanoseconds since 1970.
+	restUntil atomic.Int64
+
 	lease    atomic.Pointer[sharedLease]
 	granting singleflight.Group
 }
@@ -111,8 +121,12 @@
 
 // Acquire claims the key for a token. It returns nil if the token holds the claim now,
 // else the record of the request that does. An error means that nobody knows whether the
-// claim was written; the caller must not dispatch and must call Release.
+// claim was written; the caller must not dispatch and must call Release, unless the error is
+// ErrNotAsked.
 func (c *Claims) Acquire(ctx context.Context, key Key, token, fingerprint string) (*Record, error) {
+	if time.Now().UnixNano() < c.restUntil.Load() {
+		return nil, fmt.Errorf("claim key: %w", ErrNotAsked)
+	}
 	var lastErr error
 	for attempt := range resolveAttempts {
 		if attempt > 0 {
@@ -128,6 +142,7 @@
 		}
 		lastErr = err
 	}
+	c.restUntil.Store(time.Now().Add(outageRest).UnixNano())
 	return nil, fmt.Errorf("claim key: %w", lastErr)
 }
 
--- a/internal/platform/claims/claims_test.go
+++ b/internal/platform/claims/claims_test.go
@@ -133,6 +133,19 @@
 	require.Nil(t, other)
 }
 
+func TestClaimsRestAfterAnOutage(t *testing.T) {
+	s := newSetup(t, 1)
+	s.store.SetFault(standin.Fault{Down: true})
+	_, err := s.hosts[0].Acquire(context.Background(), key, "token", "f")
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	calls := s.store.Calls("/v3/lease/grant") + s.store.Calls("/v3/kv/txn")
+	for range 100 {
+		_, err = s.hosts[0].Acquire(context.Background(), key, "token", "f")
+		require.ErrorIs(t, err, ErrNotAsked)
+	}
+	require.Equal(t, calls, s.store.Calls("/v3/lease/grant")+s.store.Calls("/v3/kv/txn"), "refused without asking the store")
+}
+
 // TestLateClaimFindsItsReleaseFirst delays the write of a claim until after its release.
 func TestLateClaimFindsItsReleaseFirst(t *testing.T) {
 	s := newSetup(t, 2)
--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -133,10 +133,8 @@
 			continue
 		}
 		for _, a := range tier.active {
-			for _, q := range a.queue {
-				if !s.preemptFor(now, q) {
-					break
-				}
+			for q := a.queue.first; q != nil && s.preemptFor(now, q); {
+				q = q.next
 			}
 		}
 	}
--- a/internal/pool/shard/queue.go
+++ b/internal/pool/shard/queue.go
@@ -38,7 +38,7 @@
 	weight int64
 	// virtual is the number of tokens charged, divided by the weight.
 	virtual    float64
-	queue      []*request
+	queue      requestList
 	queuedCost int64
 	members    int // Waiting and running requests.
 	heapIndex  int // Position in the heap of active accounts, -1 if none.
@@ -117,8 +117,7 @@
 
 func (t *tierQueue) push(q *request) {
 	a := q.account
-	q.queueIndex = len(a.queue)
-	a.queue = append(a.queue, q)
+	a.queue.insert(q)
 	a.queuedCost += q.cost
 	t.queuedCost += q.cost
 	t.waiting++
@@ -132,12 +131,11 @@
 
 func (t *tierQueue) remove(q *request) {
 	a := q.account
-	i := slices.Index(a.queue, q)
-	a.queue = slices.Delete(a.queue, i, i+1)
+	a.queue.remove(q)
 	a.queuedCost -= q.cost
 	t.queuedCost -= q.cost
 	t.waiting--
-	if len(a.queue) == 0 {
+	if a.queue.first == nil {
 		t.activeWeight -= a.weight
 		heap.Remove(&t.active, a.heapIndex)
 	}
@@ -150,7 +148,7 @@
 }
 
 // first returns the oldest request of the account that is furthest below its share.
-func (t *tierQueue) first() *request { return t.active[0].queue[0] }
+func (t *tierQueue) first() *request { return t.active[0].queue.first }
 
 // lastOfLongest returns the newest request of the account that has the most waiting
 // work for its weight.
@@ -161,7 +159,7 @@
 			longest = a
 		}
 	}
-	return longest.queue[len(longest.queue)-1]
+	return longest.queue.last
 }
 
 func (t *tierQueue) addRunning(q *request) {
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -62,7 +62,8 @@
 	grantedAt time.Time
 	cancelled bool
 
-	queueIndex   int // Position in the queue of the account.
+	previous, next *request // Neighbours in the queue of the account.
+
 	timerIndex   int // Position in the heap of give-up times.
 	runningIndex int // Position among the running requests of the tier.
 }
@@ -368,15 +369,20 @@
 			s.refuse(s.timers[0], outcome.NoTarget)
 		}
 	}
+	reason, limit := outcome.QueueTimeout, now
+	if reopening, failed := s.allUnreachable(); failed && reopening.After(now) {
+		// No target is tried again before that time, so waiting until then is of no use.
+		reason, limit = outcome.NoTarget, reopening
+	}
 	var held []*request
-	for len(s.timers) > 0 && !now.Before(s.timers[0].giveUpAt) {
+	for len(s.timers) > 0 && !limit.Before(s.timers[0].giveUpAt) {
 		q := s.timers[0]
 		if s.lowerRunning(q.tier) {
 			s.timers.remove(q)
 			held = append(held, q)
 			continue
 		}
-		s.refuse(q, outcome.QueueTimeout)
+		s.refuse(q, reason)
 	}
 	for _, q := range held {
 		q.giveUpAt = now.Add(holdTime)
--- a/internal/pool/shard/shard_test.go
+++ b/internal/pool/shard/shard_test.go
@@ -189,6 +189,18 @@
 	require.Equal(t, second, b.finish(retried)[0].(Grant).ID)
 }
 
+func TestRequestThatCannotOutwaitUnreachableTargetsIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, setup{targets: 1, slots: 4})
+	id, _ := b.register("urgent", "big", 10)
+	b.shard.Finish(b.now, wire.Finish{ID: id, Pool: testPool, Unreachable: true})
+	r := wire.Register{ID: "short", Pool: testPool, Account: "big", Tier: "urgent", Phase: wire.Waiting, DeadlineMS: 500}
+	decisions := b.shard.Register(b.now, r)
+	require.Len(t, decisions, 1)
+	require.Equal(t, outcome.NoTarget, decisions[0].(Refuse).Reason)
+	r = wire.Register{ID: "long", Pool: testPool, Account: "big", Tier: "urgent", Phase: wire.Waiting, DeadlineMS: 5000}
+	require.Empty(t, b.shard.Register(b.now, r))
+}
+
 func TestDrainedAndLeavingTargetsGetNoNewWork(t *testing.T) {
 	p := setup{targets: 2, slots: 1}
 	b := newBench(t, p)
@@ -215,6 +227,21 @@
 	require.Equal(t, wire.RequestID("w"), b.finish("r")[0].(Grant).ID)
 }
 
+func TestNewArbiterKeepsTheOrderOfArrival(t *testing.T) {
+	b := newBench(t, setup{targets: 1, slots: 1})
+	for _, waited := range []int64{100, 300, 200} {
+		r := wire.Register{
+			ID: wire.RequestID(fmt.Sprint(waited)), Pool: testPool, Account: "big", Tier: "urgent", Phase: wire.Waiting,
+			WaitedMS: waited, Moved: true,
+		}
+		require.Empty(t, b.shard.Register(b.now, r))
+	}
+	granted := b.advance(WarmUp)[0].(Grant).ID
+	require.Equal(t, wire.RequestID("300"), granted)
+	granted = b.finish(granted)[0].(Grant).ID
+	require.Equal(t, wire.RequestID("200"), granted)
+}
+
 func TestStragglerGetsLessWork(t *testing.T) {
 	b := newBench(t, setup{targets: 3, slots: 8})
 	for i := range 60 {
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -167,6 +167,27 @@
 	return false
 }
 
+// allUnreachable reports whether the last attempt to connect has failed at every open
+// target, and when the first of them is tried again.
+func (s *Shard) allUnreachable() (time.Time, bool) {
+	if len(s.ready) > 0 || len(s.failed) == 0 {
+		return time.Time{}, false
+	}
+	var first time.Time
+	for _, t := range s.targets {
+		if t.closed {
+			continue
+		}
+		if t.retryAt.IsZero() {
+			return time.Time{}, false
+		}
+		if first.IsZero() || t.retryAt.Before(first) {
+			first = t.retryAt
+		}
+	}
+	return first, !first.IsZero()
+}
+
 // compareTargets finds stragglers: targets slower than the median of their generation.
 func (s *Shard) compareTargets(now time.Time) {
 	if now.Sub(s.comparedAt) < compareInterval {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -37,6 +37,7 @@
 	Hang          // Go silent on this connection for good.
 	Repeat        // Send the previous event again first.
 	Stray         // Send an event of another answer first.
+	End           // End the connection as if the answer were over.
 )
 
 // Engine is a stand-in engine. It is an http.Handler.
@@ -305,6 +306,8 @@
 func (e *Engine) act(w http.ResponseWriter, r *http.Request, s *stream, events [][]byte, i int, action Action) bool {
 	switch action {
 	case Send:
+	case End:
+		return false
 	case Break:
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/state/board/board_test.go
@@ -0,0 +1,91 @@
+package board
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/state/object"
+)
+
+func TestConfigNeverGoesBack(t *testing.T) {
+	b := New(Member{Name: "entry-1"})
+	var writers sync.WaitGroup
+	for i := range 50 {
+		writers.Go(func() { b.SetConfig(&object.Snapshot{Revision: object.Revision(i%10 + 1)}) })
+	}
+	writers.Wait()
+	require.Equal(t, object.Revision(10), b.Config().Revision)
+	require.False(t, b.SetConfig(&object.Snapshot{Revision: 9}))
+	require.False(t, b.SetConfig(&object.Snapshot{Revision: 10}))
+	require.True(t, b.SetConfig(&object.Snapshot{Revision: 11}))
+}
+
+func view(names ...string) *Members {
+	m := &Members{Self: Member{Name: names[0]}}
+	for _, name := range names {
+		m.Live = append(m.Live, Member{Name: name})
+	}
+	return m
+}
+
+func anyMember(Member) bool { return true }
+
+func TestOwnersMoveOnlyWithTheirHost(t *testing.T) {
+	var names []string
+	for i := range 20 {
+		names = append(names, fmt.Sprint("entry-", i))
+	}
+	before, after := view(names...), view(names[:19]...)
+	load := map[string]int{}
+	for i := range 400 {
+		pool := object.PoolName(fmt.Sprint("pool-", i))
+		owner := before.Owner(pool, anyMember)
+		load[owner.Name]++
+		if owner.Name != "entry-19" {
+			require.Equal(t, owner, after.Owner(pool, anyMember), "the pool of another host stays")
+		}
+	}
+	for _, name := range names {
+		require.InDelta(t, 20, load[name], 18, name)
+	}
+}
+
+func TestLeavingAndUnusableMembersOwnNothing(t *testing.T) {
+	m := view("a", "b", "c")
+	m.Live[1].Leaving = true
+	for i := range 50 {
+		owner := m.Owner(object.PoolName(fmt.Sprint(i)), func(m Member) bool { return m.Name != "c" })
+		require.Equal(t, "a", owner.Name)
+	}
+}
+
+func TestRanksAreAgreedOn(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	chosen := 0
+	for i := range names {
+		m := view(names...)
+		m.Self = m.Live[i]
+		if m.Ranks("duty", 3) {
+			chosen++
+		}
+	}
+	require.Equal(t, 3, chosen)
+}
+
+func TestChangedIsClosedByEachChange(t *testing.T) {
+	b := New(Member{Name: "a"})
+	changes := []func(){
+		func() { b.SetConfig(&object.Snapshot{Revision: 1}) },
+		func() { b.SetMembers(view("a")) },
+		func() { b.SetHosts(&Hosts{}) },
+		b.SetStopping,
+	}
+	for _, change := range changes {
+		changed := b.Changed()
+		change()
+		<-changed
+	}
+}
