--- a/internal/control/host/listener.go
+++ b/internal/control/host/listener.go
@@ -20,9 +20,13 @@
 // listener is one of the three HTTP listeners of a host.
 type listener struct {
 	server *http.Server
+	socket net.Listener
 	done   sync.WaitGroup
 }
 
+// address returns the address on which the listener takes connections.
+func (l *listener) address() string { return l.socket.Addr().String() }
+
 // newServer creates a server that speaks HTTP/1 and HTTP/2, the latter also without TLS.
 func newServer(handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
@@ -46,12 +50,13 @@
 		}
 		server.TLSConfig = config
 	}
-	l := &listener{server: server}
+	l := &listener{server: server, socket: socket}
 	l.done.Go(func() {
+		// Serve ends with the shutdown of the server; there is nothing to report.
 		if certificates != nil {
-			err = server.ServeTLS(socket, "", "")
+			_ = server.ServeTLS(socket, "", "")
 		} else {
-			err = server.Serve(socket)
+			_ = server.Serve(socket)
 		}
 	})
 	return l, nil
--- a/internal/control/host/process_test.go
+++ b/internal/control/host/process_test.go
@@ -273,6 +273,40 @@
 	s.requireRunOnce(len(s.Hosts) * each)
 }
 
+// TestAllHostsAreReplacedOneAfterAnother stops and restarts each host in turn while
+// requests come through the hosts that take new ones.
+func TestAllHostsAreReplacedOneAfterAnother(t *testing.T) {
+	s := newSite(t, 3, 4)
+	sent := 0
+	for i, stopped := range s.Hosts {
+		var others []*process.Host
+		for j, h := range s.Hosts {
+			if j != i {
+				others = append(others, h)
+			}
+		}
+		const each = 4
+		s.hold()
+		l := s.send(s.Hosts, each)
+		s.awaitInFlight(s.Hosts, each)
+		require.NoError(t, stopped.Signal(syscall.SIGTERM))
+		s.awaitMembers(others, len(others))
+		more := s.send(others, each)
+		s.awaitInFlight(others, 2*each)
+		s.release()
+		require.NoError(t, stopped.Wait())
+		l.wait.Wait()
+		more.wait.Wait()
+		require.Empty(t, l.failed)
+		require.Empty(t, more.failed)
+		sent += each*len(s.Hosts) + each*len(others)
+		require.NoError(t, s.Restart(stopped))
+		s.awaitMembers(s.Hosts, len(s.Hosts))
+		s.awaitReady(stopped)
+	}
+	s.requireRunOnce(sent)
+}
+
 func TestHostStartedDuringAStoreOutageGetsTheConfiguration(t *testing.T) {
 	s := newSite(t, 2, 2)
 	first := s.Hosts[0]
