Split large files, share one heap, and wait again when a pool comes back

Reading found a fault: an arbiter that lost a pool and got it back granted at once, before the fronts had registered running work. Change: one generic heap that knows positions; files by job; one plan for apply and diff; the warm-up begins whenever a shard without requests gets a moved one.

--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -113,19 +113,26 @@
 // Apply publishes all objects of a directory or file as one change set. Objects that are
 // not in it stay as they are.
 func (c *Commands) Apply(ctx context.Context, path string) error {
-	objects, err := read(path)
+	change, _, err := c.plan(ctx, path)
 	if err != nil {
 		return err
 	}
-	held, err := c.fetch(ctx)
+	return c.publish(ctx, change)
+}
+
+// plan returns what must change at the host to get the objects of a directory or file,
+// and what the host holds.
+func (c *Commands) plan(ctx context.Context, path string) (catalog.Change, current, error) {
+	objects, err := read(path)
 	if err != nil {
-		return err
+		return catalog.Change{}, current{}, err
 	}
-	change, err := held.change(objects)
+	held, err := c.fetch(ctx)
 	if err != nil {
-		return err
+		return catalog.Change{}, current{}, err
 	}
-	return c.publish(ctx, change)
+	change, err := held.change(objects)
+	return change, held, err
 }
 
 // change returns the change set that brings the held objects to the wanted ones.
@@ -166,15 +173,7 @@
 
 // Diff prints what Apply would change. It returns an error if there is a difference.
 func (c *Commands) Diff(ctx context.Context, path string) error {
-	objects, err := read(path)
-	if err != nil {
-		return err
-	}
-	held, err := c.fetch(ctx)
-	if err != nil {
-		return err
-	}
-	change, err := held.change(objects)
+	change, held, err := c.plan(ctx, path)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/pool/shard/decision.go
@@ -0,0 +1,40 @@
+package shard
+
+import (
+	"time"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+// Decision is one of Grant, Refuse and Cancel.
+type Decision interface {
+	sealed()
+}
+
+// Grant permits a waiting request to be dispatched to a target.
+type Grant struct {
+	ID     wire.RequestID
+	Target object.TargetName
+	Tier   object.TierName
+	Waited time.Duration
+}
+
+// Refuse ends a waiting request.
+type Refuse struct {
+	ID         wire.RequestID
+	Tier       object.TierName
+	Reason     outcome.Reason
+	RetryAfter time.Duration
+}
+
+// Cancel stops a running request so that a higher tier gets its slot.
+type Cancel struct {
+	ID   wire.RequestID
+	Tier object.TierName
+}
+
+func (Grant) sealed()  {}
+func (Refuse) sealed() {}
+func (Cancel) sealed() {}
--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -132,7 +132,7 @@
 		if tier.waiting == 0 || !s.lowerRunning(tier) {
 			continue
 		}
-		for _, a := range tier.active {
+		for _, a := range tier.active.all() {
 			for q := a.queue.first; q != nil && s.preemptFor(now, q); {
 				q = q.next
 			}
--- a/internal/pool/shard/queue.go
+++ b/internal/pool/shard/queue.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -18,7 +17,7 @@
 	preemptAfter time.Duration
 
 	accounts map[object.AccountName]*accountQueue
-	active   accountHeap // Accounts with waiting requests.
+	active   indexHeap[*accountQueue] // Accounts with waiting requests.
 	waiting  int
 	// queuedCost is the estimated size of all waiting requests in tokens.
 	queuedCost int64
@@ -41,7 +40,7 @@
 	queue      requestList
 	queuedCost int64
 	members    int // Waiting and running requests.
-	heapIndex  int // Position in the heap of active accounts, -1 if none.
+	heapIndex  int // Position in the heap of active accounts.
 }
 
 func (a *accountQueue) charge(tokens int64) {
@@ -81,6 +80,7 @@
 		queueTimeout: time.Duration(object.DefaultQueueTimeout),
 		preemptAfter: time.Duration(object.DefaultPreemptAfter),
 		accounts:     map[object.AccountName]*accountQueue{},
+		active:       newIndexHeap(furthestBelow),
 	}
 	if len(s.tiers) > 0 {
 		tier.priority = s.tiers[len(s.tiers)-1].priority - 1
@@ -93,7 +93,7 @@
 func (t *tierQueue) account(name object.AccountName, weight int64) *accountQueue {
 	a := t.accounts[name]
 	if a == nil {
-		a = &accountQueue{name: name, weight: weight, virtual: t.floor, heapIndex: -1}
+		a = &accountQueue{name: name, weight: weight, virtual: t.floor, heapIndex: notQueued}
 		t.accounts[name] = a
 	}
 	a.members++
@@ -125,7 +125,7 @@
 		// An idle account gains no credit for the time it was away.
 		a.virtual = max(a.virtual, t.floor)
 		t.activeWeight += a.weight
-		heap.Push(&t.active, a)
+		t.active.push(a)
 	}
 }
 
@@ -137,24 +137,24 @@
 	t.waiting--
 	if a.queue.first == nil {
 		t.activeWeight -= a.weight
-		heap.Remove(&t.active, a.heapIndex)
+		t.active.remove(a)
 	}
 }
 
 func (t *tierQueue) fixAccount(a *accountQueue) {
 	if a.heapIndex >= 0 {
-		heap.Fix(&t.active, a.heapIndex)
+		t.active.fix(a)
 	}
 }
 
 // first returns the oldest request of the account that is furthest below its share.
-func (t *tierQueue) first() *request { return t.active[0].queue.first }
+func (t *tierQueue) first() *request { return t.active.first().queue.first }
 
 // lastOfLongest returns the newest request of the account that has the most waiting
 // work for its weight.
 func (t *tierQueue) lastOfLongest() *request {
 	var longest *accountQueue
-	for _, a := range t.active {
+	for _, a := range t.active.all() {
 		if longest == nil || a.queuedCost*longest.weight > longest.queuedCost*a.weight {
 			longest = a
 		}
@@ -178,68 +178,19 @@
 	t.running = t.running[:last]
 }
 
-// accountHeap orders active accounts by their virtual counters.
-type accountHeap []*accountQueue
+// position implements positioned.
+func (a *accountQueue) position() *int { return &a.heapIndex }
 
-func (h accountHeap) Len() int { return len(h) }
+// position implements positioned.
+func (q *request) position() *int { return &q.timerIndex }
 
-func (h accountHeap) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
+// furthestBelow orders accounts by how far they are below their share.
+func furthestBelow(a, b *accountQueue) bool {
+	if a.virtual != b.virtual {
+		return a.virtual < b.virtual
 	}
-	return h[i].name < h[j].name
+	return a.name < b.name
 }
 
-func (h accountHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *accountHeap) Push(x any) {
-	a := x.(*accountQueue)
-	a.heapIndex = len(*h)
-	*h = append(*h, a)
-}
-
-// Pop implements heap.Interface.
-func (h *accountHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	a.heapIndex = -1
-	return a
-}
-
-// timerHeap orders waiting requests by the time at which they are given up.
-type timerHeap []*request
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].giveUpAt.Before(h[j].giveUpAt) }
-
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].timerIndex = i
-	h[j].timerIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *timerHeap) Push(x any) {
-	q := x.(*request)
-	q.timerIndex = len(*h)
-	*h = append(*h, q)
-}
-
-// Pop implements heap.Interface.
-func (h *timerHeap) Pop() any {
-	old := *h
-	q := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return q
-}
-
-func (h *timerHeap) push(q *request)   { heap.Push(h, q) }
-func (h *timerHeap) remove(q *request) { heap.Remove(h, q.timerIndex) }
+// givenUpFirst orders waiting requests by the time at which they are given up.
+func givenUpFirst(a, b *request) bool { return a.giveUpAt.Before(b.giveUpAt) }
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -12,62 +12,6 @@
 	"redwinglock/internal/state/outcome"
 )
 
-// Decision is one of Grant, Refuse and Cancel.
-type Decision interface {
-	sealed()
-}
-
-// Grant permits a waiting request to be dispatched to a target.
-type Grant struct {
-	ID     wire.RequestID
-	Target object.TargetName
-	Tier   object.TierName
-	Waited time.Duration
-}
-
-// Refuse ends a waiting request.
-type Refuse struct {
-	ID         wire.RequestID
-	Tier       object.TierName
-	Reason     outcome.Reason
-	RetryAfter time.Duration
-}
-
-// Cancel stops a running request so that a higher tier gets its slot.
-type Cancel struct {
-	ID   wire.RequestID
-	Tier object.TierName
-}
-
-func (Grant) sealed()  {}
-func (Refuse) sealed() {}
-func (Cancel) sealed() {}
-
-// request is one registered request.
-type request struct {
-	wire.Register
-	tier     *tierQueue
-	account  *accountQueue
-	cost     int64 // Estimated tokens, charged to the account when granted.
-	queuedAt time.Time
-	// giveUpAt is when the request is refused unless granted before.
-	giveUpAt time.Time
-	// deadline is when the caller wants the answer, zero if it did not say.
-	deadline time.Time
-	// preemptor is set once a running request was cancelled for this one.
-	preemptor bool
-
-	// Set while running.
-	target    *target
-	grantedAt time.Time
-	cancelled bool
-
-	previous, next *request // Neighbours in the queue of the account.
-
-	timerIndex   int // Position in the heap of give-up times.
-	runningIndex int // Position among the running requests of the tier.
-}
-
 // Shard holds the waiting and running requests of one pool. It is not safe for
 // concurrent use.
 type Shard struct {
@@ -77,11 +21,11 @@
 
 	tiers    []*tierQueue // Highest priority first.
 	requests map[wire.RequestID]*request
-	timers   timerHeap
+	timers   indexHeap[*request]
 	waiting  int
 
 	targets  map[object.TargetName]*target
-	ready    readyHeap
+	ready    indexHeap[*target]
 	failed   []*target // Targets that wait for their next attempt.
 	prefixes *prefixMap
 	leaving  map[object.TargetName]bool
@@ -103,6 +47,8 @@
 	return &Shard{
 		pool:     pool,
 		requests: map[wire.RequestID]*request{},
+		timers:   newIndexHeap(givenUpFirst),
+		ready:    newIndexHeap(leastLoaded),
 		targets:  map[object.TargetName]*target{},
 		prefixes: newPrefixMap(),
 	}
@@ -134,14 +80,14 @@
 		}
 		t.generation = spec.Generation
 		t.closed = spec.Drain || s.leaving[spec.Name]
-		s.ready.fix(t)
+		s.fixReady(t)
 	}
 	for name, t := range s.targets {
 		if wanted[name] {
 			continue
 		}
 		t.closed = true
-		s.ready.fix(t)
+		s.fixReady(t)
 		if t.inFlight == 0 {
 			delete(s.targets, name)
 		}
@@ -176,56 +122,14 @@
 	s.enqueue(known)
 }
 
-// warm delays grants once, when the first request moves here from another arbiter.
+// warm delays grants when the first request moves here from another arbiter, until the
+// fronts have registered what they know.
 func (s *Shard) warm(now time.Time) {
-	if s.warmUntil.IsZero() && len(s.requests) == 0 {
+	if len(s.requests) == 0 {
 		s.warmUntil = now.Add(WarmUp)
 	}
 }
 
-func (s *Shard) newRequest(now time.Time, r wire.Register) *request {
-	tier := s.tierFor(r.Tier)
-	waited := time.Duration(r.WaitedMS) * time.Millisecond
-	q := &request{
-		Register: r,
-		tier:     tier,
-		account:  tier.account(r.Account, s.weight(r.Account)),
-		cost:     int64(r.PromptTokens + r.OutputTokens),
-		queuedAt: now.Add(-waited),
-	}
-	q.cost = max(q.cost, 1)
-	q.giveUpAt = q.queuedAt.Add(tier.queueTimeout)
-	if r.DeadlineMS > 0 {
-		q.deadline = now.Add(time.Duration(r.DeadlineMS) * time.Millisecond)
-		if q.deadline.Before(q.giveUpAt) {
-			q.giveUpAt = q.deadline
-		}
-	}
-	return q
-}
-
-func (s *Shard) weight(name object.AccountName) int64 {
-	if s.snapshot != nil {
-		if account := s.snapshot.Account(name); account != nil {
-			return int64(account.Weight)
-		}
-	}
-	return object.DefaultWeight
-}
-
-// adopt counts a request that is running already.
-func (s *Shard) adopt(now time.Time, q *request) {
-	t := s.targets[q.Target]
-	if t == nil {
-		// The target has left the configuration; count its work until it ends.
-		t = newTarget(&object.Target{Name: q.Target, Slots: object.DefaultSlots}, object.EnginePool)
-		t.closed = true
-		s.targets[q.Target] = t
-	}
-	s.requests[q.ID] = q
-	s.startRunning(now, q, t)
-}
-
 // admit queues a new request, or refuses it or one that ranks below it.
 func (s *Shard) admit(now time.Time, q *request) {
 	s.requests[q.ID] = q
@@ -274,7 +178,7 @@
 	if f.Dispatched {
 		s.settle(now, q, t, f)
 	}
-	s.ready.fix(t)
+	s.fixReady(t)
 	return s.step(now)
 }
 
@@ -365,8 +269,8 @@
 // is open, no slot will be, and all are refused at once.
 func (s *Shard) expire(now time.Time) {
 	if s.waiting > 0 && !s.anyOpen() {
-		for len(s.timers) > 0 {
-			s.refuse(s.timers[0], outcome.NoTarget)
+		for s.timers.len() > 0 {
+			s.refuse(s.timers.first(), outcome.NoTarget)
 		}
 	}
 	reason, limit := outcome.QueueTimeout, now
@@ -375,8 +279,8 @@
 		reason, limit = outcome.NoTarget, reopening
 	}
 	var held []*request
-	for len(s.timers) > 0 && !limit.Before(s.timers[0].giveUpAt) {
-		q := s.timers[0]
+	for s.timers.len() > 0 && !limit.Before(s.timers.first().giveUpAt) {
+		q := s.timers.first()
 		if s.lowerRunning(q.tier) {
 			s.timers.remove(q)
 			held = append(held, q)
@@ -406,51 +310,3 @@
 	delete(s.requests, q.ID)
 	q.tier.release(q.account)
 }
-
-func (s *Shard) startRunning(now time.Time, q *request, t *target) {
-	q.target = t
-	q.grantedAt = now
-	q.tier.addRunning(q)
-	t.start(q.cost)
-	s.ready.fix(t)
-}
-
-func (s *Shard) stopRunning(q *request) {
-	t := q.target
-	t.stop(q.cost)
-	q.tier.removeRunning(q)
-	q.target = nil
-	q.cancelled = false
-	s.ready.fix(t)
-	if t.closed && t.inFlight == 0 && s.snapshotTarget(t.name) == nil {
-		delete(s.targets, t.name)
-	}
-}
-
-func (s *Shard) snapshotTarget(name object.TargetName) *object.Target {
-	if s.snapshot == nil {
-		return nil
-	}
-	view := s.snapshot.Pool(s.pool)
-	if view == nil {
-		return nil
-	}
-	for _, t := range view.Targets {
-		if t.Name == name {
-			return t
-		}
-	}
-	return nil
-}
-
-func (s *Shard) enqueue(q *request) {
-	q.tier.push(q)
-	s.timers.push(q)
-	s.waiting++
-}
-
-func (s *Shard) dequeue(q *request) {
-	q.tier.remove(q)
-	s.timers.remove(q)
-	s.waiting--
-}
--- a/internal/pool/shard/shard_test.go
+++ b/internal/pool/shard/shard_test.go
@@ -227,6 +227,17 @@
 	require.Equal(t, wire.RequestID("w"), b.finish("r")[0].(Grant).ID)
 }
 
+func TestArbiterThatGetsItsPoolBackWaitsAgain(t *testing.T) {
+	b := newBench(t, setup{targets: 1, slots: 1})
+	for _, id := range []wire.RequestID{"first", "second"} {
+		r := wire.Register{ID: id, Pool: testPool, Account: "big", Tier: "urgent", Phase: wire.Waiting, Moved: true}
+		require.Empty(t, b.shard.Register(b.now, r), "grants wait for the other fronts")
+		require.Equal(t, id, b.advance(WarmUp)[0].(Grant).ID)
+		b.finish(id)
+		b.advance(time.Minute)
+	}
+}
+
 func TestNewArbiterKeepsTheOrderOfArrival(t *testing.T) {
 	b := newBench(t, setup{targets: 1, slots: 1})
 	for _, waited := range []int64{100, 300, 200} {
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -61,7 +60,7 @@
 	samples int
 	speed   float64 // Speed relative to the median of the generation, at most 1.
 
-	readyIndex int // Position in the heap of targets with free slots, -1 if none.
+	readyIndex int // Position in the heap of targets with free slots.
 }
 
 func newTarget(spec *object.Target, pool object.PoolType) *target {
@@ -71,7 +70,7 @@
 		engine:     pool == object.EnginePool,
 		limit:      float64(max(spec.Slots, 1)),
 		speed:      1,
-		readyIndex: -1,
+		readyIndex: notQueued,
 	}
 }
 
@@ -139,7 +138,7 @@
 		s.failed = append(s.failed, t)
 	}
 	t.retryAt = now.Add(backoff)
-	s.ready.fix(t)
+	s.fixReady(t)
 }
 
 // reopen lets targets be tried again whose backoff has passed.
@@ -149,14 +148,14 @@
 			return false
 		}
 		t.retryAt = time.Time{}
-		s.ready.fix(t)
+		s.fixReady(t)
 		return true
 	})
 }
 
 // anyOpen reports whether some target may get work now or after a backoff.
 func (s *Shard) anyOpen() bool {
-	if len(s.ready) > 0 {
+	if s.ready.len() > 0 {
 		return true
 	}
 	for _, t := range s.targets {
@@ -170,7 +169,7 @@
 // allUnreachable reports whether the last attempt to connect has failed at every open
 // target, and when the first of them is tried again.
 func (s *Shard) allUnreachable() (time.Time, bool) {
-	if len(s.ready) > 0 || len(s.failed) == 0 {
+	if s.ready.len() > 0 || len(s.failed) == 0 {
 		return time.Time{}, false
 	}
 	var first time.Time
@@ -217,7 +216,7 @@
 				t.probing = true
 				ejected++
 			}
-			s.ready.fix(t)
+			s.fixReady(t)
 		}
 	}
 }
@@ -225,15 +224,15 @@
 // place picks the target for a request: one that holds a prefix of its prompt unless
 // it is much more loaded, else the least loaded. It returns nil if no slot is free.
 func (s *Shard) place(q *request) *target {
-	if len(s.ready) == 0 {
+	if s.ready.len() == 0 {
 		return nil
 	}
-	least := s.ready[0]
+	least := s.ready.first()
 	for i := len(q.Prefixes) - 1; i >= 0; i-- {
 		saved := float64(i+1) / float64(len(q.Prefixes))
 		var best *target
 		for _, holder := range s.prefixes.holders(q.Prefixes[i]) {
-			if holder.readyIndex >= 0 && (best == nil || holder.load() < best.load()) {
+			if holder.readyIndex != notQueued && (best == nil || holder.load() < best.load()) {
 				best = holder
 			}
 		}
@@ -247,51 +246,28 @@
 // prefixBias is how much more loaded a target that holds the whole prefix may be.
 const prefixBias = 0.5
 
-// readyHeap orders targets with free slots by load.
-type readyHeap []*target
-
-func (h readyHeap) Len() int { return len(h) }
+// position implements positioned.
+func (t *target) position() *int { return &t.readyIndex }
 
-func (h readyHeap) Less(i, j int) bool {
-	a, b := h[i].load(), h[j].load()
-	if a != b {
-		return a < b
+// leastLoaded orders targets by load.
+func leastLoaded(a, b *target) bool {
+	x, y := a.load(), b.load()
+	if x != y {
+		return x < y
 	}
-	return h[i].name < h[j].name
+	return a.name < b.name
 }
 
-func (h readyHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].readyIndex = i
-	h[j].readyIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *readyHeap) Push(x any) {
-	t := x.(*target)
-	t.readyIndex = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop implements heap.Interface.
-func (h *readyHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.readyIndex = -1
-	return t
-}
-
-// fix adds, moves or removes a target after a change of its slots or load.
-func (h *readyHeap) fix(t *target) {
+// fixReady adds, moves or removes a target among those with free slots, after a change of
+// its slots or load.
+func (s *Shard) fixReady(t *target) {
 	free := t.inFlight < t.slots()
 	switch {
-	case free && t.readyIndex < 0:
-		heap.Push(h, t)
+	case free && t.readyIndex == notQueued:
+		s.ready.push(t)
 	case free:
-		heap.Fix(h, t.readyIndex)
-	case t.readyIndex >= 0:
-		heap.Remove(h, t.readyIndex)
+		s.ready.fix(t)
+	case t.readyIndex != notQueued:
+		s.ready.remove(t)
 	}
 }
