Keep the connection of a slow engine; answer without waiting for the engine's stop

Cause: an engine that cannot resume and was silent for longer than the idle timeout, as while it computes a long prompt, was given up as lost. Found by reading. Also, a failed request got its answer only after the engine had been told to stop, up to a second later. Ruled out: a longer idle timeout (silent connections would be noticed late at engines that can resume). Change: a connection is read in the background; when it is silent, a second one tries to resume, and the first is kept if the engine cannot, up to silence-timeout (60 s). The stop is sent in the background. Bodies of heartbeats and change sets are bounded. The test site closes its caller server first, as a host does.

--- a/internal/control/host/peers.go
+++ b/internal/control/host/peers.go
@@ -13,12 +13,16 @@
 	"redwinglock/internal/state/common"
 )
 
+// maxHeartbeatBytes bounds a heartbeat.
+const maxHeartbeatBytes = 256 << 10
+
 // peerHandler serves the other entry hosts.
 func peerHandler(c *common.Common, arbiters *front.Server, members *member.Controller, follower *catalog.Follower) http.Handler {
 	router := gin.New()
 	router.Use(gin.Recovery(), requirePeer(c))
 	router.POST(wire.LinkPath, arbiters.ServeLink)
 	router.POST(wire.HeartbeatPath, func(c *gin.Context) {
+		c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxHeartbeatBytes)
 		var h member.Heartbeat
 		if err := c.ShouldBindJSON(&h); err != nil {
 			c.Status(http.StatusBadRequest)
--- a/internal/entry/caller/completion.go
+++ b/internal/entry/caller/completion.go
@@ -206,6 +206,8 @@
 			Path:        job.path,
 			Body:        job.body,
 			IdleTimeout: time.Duration(job.route.Pool.IdleTimeout),
+
+			SilenceTimeout: time.Duration(job.route.Pool.SilenceTimeout),
 		}, gate)
 		job.stream = stream
 		return err
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -33,7 +33,6 @@
 func (s *Server) dispatch(ctx context.Context, r *request, w wire.Register, attempt send) (context.Context, *arbiter.Ticket, error) {
 	ticket := s.arbiters.Register(w)
 	running, cancel := context.WithCancelCause(ctx)
-	context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
 	for range maxAttempts {
 		name, err := s.arbiters.Wait(ctx, ticket)
 		if err != nil {
--- a/internal/entry/caller/site_test.go
+++ b/internal/entry/caller/site_test.go
@@ -77,6 +77,7 @@
 	s.server = New(c, s.board, arbiters, engines, service.New(), held)
 	s.url = serve(s.server.Handler())
 	t.Cleanup(func() {
+		require.NoError(t, s.server.Close()) // As a host does, before its parts close.
 		require.NoError(t, held.Close())
 		require.NoError(t, engines.Close())
 		require.NoError(t, arbiters.Close())
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -122,7 +122,11 @@
 	Revision object.Revision `json:"revision"`
 }
 
+// maxChangeBytes bounds a change set.
+const maxChangeBytes = 64 << 20
+
 func (s *Server) change(c *gin.Context) {
+	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxChangeBytes)
 	var change catalog.Change
 	if err := c.ShouldBindJSON(&change); err != nil {
 		c.JSON(http.StatusBadRequest, Problem{Message: "body: " + err.Error(), Outcome: "refused"})
--- a/internal/state/object/check.go
+++ b/internal/state/object/check.go
@@ -18,6 +18,8 @@
 	DefaultIdleTimeout  = Duration(2 * time.Second)
 	DefaultSlots        = 8
 
+	DefaultSilenceTimeout = Duration(time.Minute)
+
 	maxSlots   = 4096
 	maxWeight  = 1_000_000
 	keyHashLen = 64 // Hex digits of a SHA-256 digest.
@@ -93,6 +95,7 @@
 		pool := *o
 		setDefault(&pool.QueueLimit, DefaultQueueLimit)
 		setDefault(&pool.IdleTimeout, DefaultIdleTimeout)
+		setDefault(&pool.SilenceTimeout, max(DefaultSilenceTimeout, pool.IdleTimeout))
 		c.pools[o.Name] = &pool
 	case *Target:
 		target := *o
@@ -194,6 +197,9 @@
 		if p.IdleTimeout < 0 {
 			c.fault(p, "idle-timeout", "is negative")
 		}
+		if p.SilenceTimeout < p.IdleTimeout {
+			c.fault(p, "silence-timeout", "is shorter than idle-timeout")
+		}
 	}
 }
 
--- a/internal/state/object/types.go
+++ b/internal/state/object/types.go
@@ -110,6 +110,9 @@
 	QueueLimit int `json:"queue-limit,omitempty" yaml:"queue-limit,omitempty"`
 	// IdleTimeout is the silence after which a stream is resumed on a new connection. Default 2s.
 	IdleTimeout Duration `json:"idle-timeout,omitempty" yaml:"idle-timeout,omitempty"`
+	// SilenceTimeout is the silence after which a stream that cannot be resumed is given
+	// up. Default 60s.
+	SilenceTimeout Duration `json:"silence-timeout,omitempty" yaml:"silence-timeout,omitempty"`
 	// NonIdempotent marks every call to the pool as non-idempotent.
 	NonIdempotent bool `json:"non-idempotent,omitempty" yaml:"non-idempotent,omitempty"`
 }
