Arbitrate a pool near its targets; fewer hand-overs between goroutines

Cause: at full size the arbiter of a pool could live in another region, and a cut between regions would have taken it away. Change: rendezvous hashing among the hosts in the zones of the pool's targets first. A message to the arbiter of the same process is handled by its sender; one timer for each stream; events are read ahead. Wrong settings exit with 2; reading a configuration is bounded; the example of the settings is checked by a test.

--- a/internal/control/catalog/read.go
+++ b/internal/control/catalog/read.go
@@ -9,14 +9,20 @@
 
 // Read returns the current state. What known holds is not read again.
 func (c *Catalog) Read(ctx context.Context, known *State) (*State, error) {
-	for {
-		state, err := c.readOnce(ctx, known)
+	var err error
+	for range readAttempts {
+		var state *State
+		state, err = c.readOnce(ctx, known)
 		if !errors.Is(err, errMoved) {
 			return state, err
 		}
 	}
+	return nil, fmt.Errorf("read configuration: %w", err)
 }
 
+// readAttempts bounds the tries to read while the configuration is being changed.
+const readAttempts = 10
+
 func (c *Catalog) readOnce(ctx context.Context, known *State) (*State, error) {
 	value, err := c.kv.Get(ctx, c.headKey())
 	if err != nil {
--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -57,6 +57,9 @@
 	errDiffers = errors.New("objects differ")
 )
 
+// Invalid marks an error as one of the input, for the exit code.
+func Invalid(err error) error { return fmt.Errorf("%w:\n%w", errInvalid, err) }
+
 // Commands runs commands against one host.
 type Commands struct {
 	client *operator.Client
@@ -75,7 +78,7 @@
 		return err
 	}
 	if err := object.Check(objects); err != nil {
-		return fmt.Errorf("%w:\n%w", errInvalid, err)
+		return Invalid(err)
 	}
 	fmt.Fprintf(out, "%d objects are valid\n", len(objects))
 	return nil
@@ -84,7 +87,7 @@
 func read(path string) ([]object.Object, error) {
 	objects, err := object.ReadDir(path)
 	if err != nil {
-		return nil, fmt.Errorf("%w:\n%w", errInvalid, err)
+		return nil, Invalid(err)
 	}
 	return objects, nil
 }
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -190,8 +190,8 @@
 	}
 	if config := s.board.Config(); config != nil {
 		status.Revision = config.Revision
-		for name := range config.Pools() {
-			status.Arbiters[name] = members.Owner(name, func(board.Member) bool { return true }).Name
+		for name, pool := range config.Pools() {
+			status.Arbiters[name] = members.Owner(name, pool.Zones, func(board.Member) bool { return true }).Name
 		}
 	}
 	c.JSON(http.StatusOK, status)
--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -144,7 +144,7 @@
 // ErrNotSent if nothing was sent, a *Rejection if the engine refused, and otherwise
 // carries what is known about the outcome.
 func (c *Client) Open(ctx context.Context, call Call, gate Gate) (*Stream, error) {
-	s := &Stream{client: c, call: call, ctx: ctx}
+	s := &Stream{client: c, call: call, ctx: ctx, idleTimer: time.NewTimer(call.IdleTimeout)}
 	attempt, cancel := context.WithCancel(ctx)
 	gated, sent := WithGate(attempt, gate)
 	request, err := http.NewRequestWithContext(gated, http.MethodPost, call.Address+call.Path, GatedBody(call.Body, sent))
@@ -176,15 +176,14 @@
 // that it never will.
 func (s *Stream) awaitOpening(sent func() bool) (bool, error) {
 	first := s.conn
-	idle := time.NewTimer(s.call.IdleTimeout)
-	defer idle.Stop()
+	s.idleTimer.Reset(s.call.IdleTimeout)
 	select {
 	case err := <-first.opened:
 		if err == nil {
 			return true, nil
 		}
 		return s.failedToOpen(err, sent)
-	case <-idle.C:
+	case <-s.idleTimer.C:
 		if !sent() {
 			first.cancel()
 			return s.failedToOpen(<-first.opened, sent)
--- a/internal/fleet/engine/connection.go
+++ b/internal/fleet/engine/connection.go
@@ -11,7 +11,11 @@
 	"strings"
 )
 
-const maxEventBytes = 4 << 20
+const (
+	maxEventBytes = 4 << 20
+	// eventBuffer is the number of events read ahead of the caller.
+	eventBuffer = 16
+)
 
 // rawEvent is a server-sent event; the id is 0 if the engine sends none.
 type rawEvent struct {
@@ -32,7 +36,7 @@
 
 // connect sends a request and reads its answer until ctx or the answer ends.
 func (c *Client) connect(ctx context.Context, cancel context.CancelFunc, request *http.Request) *connection {
-	conn := &connection{cancel: cancel, opened: make(chan error, 1), events: make(chan rawEvent)}
+	conn := &connection{cancel: cancel, opened: make(chan error, 1), events: make(chan rawEvent, eventBuffer)}
 	c.background.Go(func() {
 		defer close(conn.events)
 		response, err := c.http.Do(request)
--- a/internal/fleet/engine/stream.go
+++ b/internal/fleet/engine/stream.go
@@ -40,7 +40,8 @@
 	events     int
 	silentRuns int
 	silence    time.Duration // Time without an event on this connection.
-	noResume   bool          // The engine cannot resume this stream.
+	idleTimer  *time.Timer
+	noResume   bool // The engine cannot resume this stream.
 	finished   bool
 }
 
@@ -77,8 +78,7 @@
 // receive waits for an event of the current connection. It returns false if the stream
 // goes on, perhaps on another connection, without one.
 func (s *Stream) receive() (rawEvent, bool, error) {
-	idle := time.NewTimer(s.call.IdleTimeout)
-	defer idle.Stop()
+	s.idleTimer.Reset(s.call.IdleTimeout)
 	select {
 	case e, open := <-s.conn.events:
 		if !open {
@@ -86,7 +86,7 @@
 		}
 		s.silence = 0
 		return e, true, nil
-	case <-idle.C:
+	case <-s.idleTimer.C:
 		return rawEvent{}, false, s.idle()
 	}
 }
@@ -232,6 +232,7 @@
 // stop in the background; Client.Close waits for that.
 func (s *Stream) Close() error {
 	s.conn.cancel()
+	s.idleTimer.Stop()
 	if !s.finished {
 		s.client.background.Go(func() { s.client.cancelAtEngine(s.call) })
 	}
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -114,7 +114,11 @@
 // linkFor returns the link to the arbiter of a pool.
 func (c *Client) linkFor(pool object.PoolName) link {
 	members := c.board.Members()
-	owner := members.Owner(pool, c.usable)
+	var zones map[object.Zone]bool
+	if config := c.board.Config(); config != nil && config.Pool(pool) != nil {
+		zones = config.Pool(pool).Zones
+	}
+	owner := members.Owner(pool, zones, c.usable)
 	if owner.Name == members.Self.Name {
 		owner.PeerURL = ""
 	}
--- a/internal/peer/arbiter/link.go
+++ b/internal/peer/arbiter/link.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwinglock/internal/peer/front"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
 )
@@ -20,23 +21,13 @@
 	close()
 }
 
-// newLocalLink connects a client with the server of the same process. Both directions
-// are queues, because either side may send while it holds a lock.
+// newLocalLink connects a client with the server of the same process.
 func newLocalLink(c *Client, self wire.HostID) link {
-	up := wire.NewOutbox[wire.Up]()
 	down := wire.NewOutbox[wire.Down]()
-	l := &memoryLink{up: up, down: down}
-	session := c.local.Attach(self, down)
-	c.done.Add(2)
-	go func() {
-		defer c.done.Done()
-		pump(up, session.Handle)
-		_ = session.Close()
-	}()
-	go func() {
-		defer c.done.Done()
+	l := &memoryLink{session: c.local.Attach(self, down)}
+	c.done.Go(func() {
 		pump(down, func(message wire.Down) { c.receive(l, message) })
-	}()
+	})
 	return l
 }
 
@@ -54,19 +45,25 @@
 	}
 }
 
-// memoryLink is a link within the process.
+// memoryLink is a link within the process. Messages to the arbiter are handled by the
+// sender's goroutine, which may hold the lock of a ticket. Decisions come back over a
+// queue, because the arbiter holds the lock of its shard when it sends them.
 type memoryLink struct {
-	up     *wire.Outbox[wire.Up]
-	down   *wire.Outbox[wire.Down]
-	closed atomic.Bool
+	session *front.Session
+	closed  atomic.Bool
+}
+
+func (l *memoryLink) send(message wire.Up) {
+	if !l.closed.Load() {
+		l.session.Handle(message)
+	}
 }
 
-func (l *memoryLink) send(message wire.Up) { l.up.Send(message) }
-func (l *memoryLink) failed() bool         { return l.closed.Load() }
+func (l *memoryLink) failed() bool { return l.closed.Load() }
 
 func (l *memoryLink) close() {
 	l.closed.Store(true)
-	l.up.Close()
+	_ = l.session.Close()
 }
 
 // remoteLink leads to another process over one HTTP/2 stream.
--- a/internal/pool/shard/shard_test.go
+++ b/internal/pool/shard/shard_test.go
@@ -254,31 +254,36 @@
 }
 
 func TestStragglerGetsLessWork(t *testing.T) {
-	b := newBench(t, setup{targets: 3, slots: 8})
-	for i := range 60 {
-		id, decisions := b.register("urgent", "big", 10)
-		g := decisions[0].(Grant)
-		decode := int64(10_000)
-		if g.Target == "engine-3" {
-			decode = 50_000
-		}
-		b.now = b.now.Add(100 * time.Millisecond)
-		b.shard.Finish(b.now, wire.Finish{ID: id, Pool: testPool, Dispatched: true, Completed: true, OutputTokens: 10, DecodeUS: decode})
-		// Spread the samples over all targets.
-		if i < 20 {
-			for _, target := range b.shard.targets {
-				target.samples++
-				target.decode = 10_000
-				if target.name == "engine-3" {
-					target.decode = 50_000
+	rows := []struct {
+		name     string
+		slowness int64 // Of engine-3 against the others.
+		slots    int
+	}{
+		{"as fast as the others", 1, 8},
+		{"three times slower", 3, 2},
+		{"five times slower", 5, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			b := newBench(t, setup{targets: 3, slots: 8})
+			for range 3 * 3 * minSamples {
+				b.now = b.now.Add(compareInterval)
+				for range 3 { // One request on each target.
+					b.register("urgent", "big", 10)
+				}
+				for id, q := range b.shard.requests {
+					decode := int64(10_000)
+					if q.target.name == "engine-3" {
+						decode *= row.slowness
+					}
+					b.shard.Finish(b.now, wire.Finish{ID: id, Pool: testPool, Dispatched: true, Completed: true, OutputTokens: 10, DecodeUS: decode})
 				}
 			}
-		}
+			require.Equal(t, row.slots, b.shard.targets["engine-3"].slots())
+			require.Equal(t, 8, b.shard.targets["engine-1"].slots())
+			require.Equal(t, 8, b.shard.targets["engine-2"].slots())
+		})
 	}
-	straggler := b.shard.targets["engine-3"]
-	require.Less(t, straggler.speed, ejectSpeed)
-	require.Equal(t, 1, straggler.slots())
-	require.Equal(t, 8, b.shard.targets["engine-1"].slots())
 }
 
 func TestPrefixHolderIsPreferredUnlessOverloaded(t *testing.T) {
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -116,19 +116,22 @@
 	b.changed = make(chan struct{})
 }
 
-// Owner returns the member that arbitrates a pool: the one with the highest
-// rendezvous hash among those accepted by usable. Members that are leaving come last.
-func (m *Members) Owner(pool object.PoolName, usable func(Member) bool) Member {
+// Owner returns the member that arbitrates a pool: the one with the highest rendezvous
+// hash among those accepted by usable. Members in the zones of the pool go before all
+// others, so that a pool is arbitrated near its targets, also while regions are cut off
+// from each other. If no member qualifies, it is this host.
+func (m *Members) Owner(pool object.PoolName, zones map[object.Zone]bool, usable func(Member) bool) Member {
 	best := m.Self
 	var bestScore uint64
-	found := false
+	bestNear, found := false, false
 	for _, member := range m.Live {
-		if member.Leaving || !usable(member) {
+		near := zones[member.Zone]
+		if member.Leaving || (bestNear && !near) || !usable(member) {
 			continue
 		}
-		score := rendezvous(pool, member.Name)
-		if !found || score > bestScore {
-			best, bestScore, found = member, score, true
+		score := rendezvous(string(pool), member.Name)
+		if !found || (near && !bestNear) || score > bestScore {
+			best, bestScore, bestNear, found = member, score, near, true
 		}
 	}
 	return best
@@ -137,21 +140,21 @@
 // Ranks reports whether this host is among the first n members for a duty. All hosts
 // with the same view agree on who they are.
 func (m *Members) Ranks(duty string, n int) bool {
-	own := rendezvous(object.PoolName(duty), m.Self.Name)
+	own := rendezvous(duty, m.Self.Name)
 	higher := 0
 	for _, member := range m.Live {
-		if !member.Leaving && rendezvous(object.PoolName(duty), member.Name) > own {
+		if !member.Leaving && rendezvous(duty, member.Name) > own {
 			higher++
 		}
 	}
 	return higher < n
 }
 
-func rendezvous(pool object.PoolName, host string) uint64 {
+func rendezvous(duty, host string) uint64 {
 	digest := fnv.New64a()
 	digest.Write([]byte(host))
 	digest.Write([]byte{0})
-	digest.Write([]byte(pool))
+	digest.Write([]byte(duty))
 	// FNV alone mixes the last bytes badly; finish as in SplitMix64.
 	x := digest.Sum64()
 	x ^= x >> 30
--- a/internal/state/board/board_test.go
+++ b/internal/state/board/board_test.go
@@ -42,10 +42,10 @@
 	load := map[string]int{}
 	for i := range 400 {
 		pool := object.PoolName(fmt.Sprint("pool-", i))
-		owner := before.Owner(pool, anyMember)
+		owner := before.Owner(pool, nil, anyMember)
 		load[owner.Name]++
 		if owner.Name != "entry-19" {
-			require.Equal(t, owner, after.Owner(pool, anyMember), "the pool of another host stays")
+			require.Equal(t, owner, after.Owner(pool, nil, anyMember), "the pool of another host stays")
 		}
 	}
 	for _, name := range names {
@@ -57,11 +57,27 @@
 	m := view("a", "b", "c")
 	m.Live[1].Leaving = true
 	for i := range 50 {
-		owner := m.Owner(object.PoolName(fmt.Sprint(i)), func(m Member) bool { return m.Name != "c" })
+		owner := m.Owner(object.PoolName(fmt.Sprint(i)), nil, func(m Member) bool { return m.Name != "c" })
 		require.Equal(t, "a", owner.Name)
 	}
 }
 
+func TestOwnerIsNearThePool(t *testing.T) {
+	m := view("a", "b", "c", "d")
+	for i, zone := range []object.Zone{"sofia", "sofia", "kigali", "kigali"} {
+		m.Live[i].Zone = zone
+	}
+	kigali := map[object.Zone]bool{"kigali": true}
+	owners := map[string]bool{}
+	for i := range 50 {
+		pool := object.PoolName(fmt.Sprint(i))
+		owners[m.Owner(pool, kigali, anyMember).Name] = true
+		far := m.Owner(pool, kigali, func(m Member) bool { return m.Zone != "kigali" })
+		require.Equal(t, object.Zone("sofia"), far.Zone, "any host rather than none")
+	}
+	require.Equal(t, map[string]bool{"c": true, "d": true}, owners)
+}
+
 func TestRanksAreAgreedOn(t *testing.T) {
 	names := []string{"a", "b", "c", "d", "e", "f"}
 	chosen := 0
--- a/internal/state/object/snapshot.go
+++ b/internal/state/object/snapshot.go
@@ -25,6 +25,8 @@
 type PoolView struct {
 	Pool
 	Targets []*Target
+	// Zones are the availability zones that have targets of the pool.
+	Zones map[Zone]bool
 }
 
 // Route is where a request for a model goes.
@@ -53,11 +55,12 @@
 		s.byKey[hash] = c.accounts[name]
 	}
 	for name, pool := range c.pools {
-		s.pools[name] = &PoolView{Pool: *pool}
+		s.pools[name] = &PoolView{Pool: *pool, Zones: map[Zone]bool{}}
 	}
 	for _, target := range c.targets {
 		view := s.pools[target.Pool]
 		view.Targets = append(view.Targets, target)
+		view.Zones[target.Zone] = true
 	}
 	for _, view := range s.pools {
 		slices.SortFunc(view.Targets, func(a, b *Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -31,6 +31,11 @@
 	require.Equal(t, "text", s.Log.Format)
 }
 
+func TestExampleIsValid(t *testing.T) {
+	_, err := Load("../../../docs/example-host.yaml")
+	require.NoError(t, err)
+}
+
 func TestParseReportsAllFaultsWithLineAndKey(t *testing.T) {
 	rows := []struct {
 		name   string
--- a/main.go
+++ b/main.go
@@ -107,7 +107,7 @@
 func serve(args *serveCommand) error {
 	s, err := settings.Load(args.Settings)
 	if err != nil {
-		return err
+		return command.Invalid(err)
 	}
 	if args.CheckSettings {
 		fmt.Println("settings are valid")
