Tie decisions to a registration; never touch a stream's handler after its end

When the dead host counts as usable again for a moment, requests move to it and back to the same arbiter; a grant for the earlier registration was then taken for the new one, the arbiter kept the request as waiting, granted it later to nobody and lost the slot. Ruled out: longer suspicion alone (the race would only be rarer). Change: registrations are numbered, decisions name theirs, others are dropped; the end of a request that counts as waiting removes it. The timer and the end of the loop exclude each other. The queue delay is recorded by the front, with tier, account group and pool.

--- a/internal/entry/caller/completion.go
+++ b/internal/entry/caller/completion.go
@@ -271,8 +271,7 @@
 		}
 	}
 	ticket.Finish(f)
-	tags := map[string]string{"tier": string(job.tier), "group": job.account.Group, "pool": string(job.route.Pool.Name)}
-	scope := s.common.Metrics.Tagged(tags)
+	scope := s.scope(job.request, job.route.Pool.Name)
 	if err != nil {
 		scope.Counter("wasted_prefill_tokens").Inc(int64(f.PromptTokens))
 		return
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"redwinglock/internal/fleet/engine"
 	"redwinglock/internal/peer/arbiter"
 	"redwinglock/internal/peer/wire"
@@ -39,6 +41,7 @@
 			cancel(err)
 			return nil, nil, err
 		}
+		s.scope(r, w.Pool).Timer("queue_delay").Record(time.Since(r.arrived))
 		target := s.target(r, w.Pool, name)
 		if target == nil {
 			ticket.Unreachable()
@@ -62,6 +65,11 @@
 	return nil, nil, outcome.Refuse(outcome.NoTarget, noTargetRetryAfter, "no target could be reached")
 }
 
+// scope returns the metrics of a request's tier, account group and pool.
+func (s *Server) scope(r *request, pool object.PoolName) tally.Scope {
+	return s.common.Metrics.Tagged(map[string]string{"tier": string(r.tier), "group": r.account.Group, "pool": string(pool)})
+}
+
 // cancelOnPreempt cancels a running request when the arbiter says so.
 func cancelOnPreempt(ctx context.Context, t *arbiter.Ticket, cancel context.CancelCauseFunc) {
 	select {
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -72,8 +72,7 @@
 		return nil, explain(running, err)
 	}
 	c.Header(HeaderPool, string(pool.Name))
-	scope := s.common.Metrics.Tagged(map[string]string{"tier": string(r.tier), "group": r.account.Group, "pool": string(pool.Name)})
-	scope.Counter("completed").Inc(1)
+	s.scope(r, pool.Name).Counter("completed").Inc(1)
 	r.log.WithFields(logrus.Fields{"pool": pool.Name, "status": answer.Status}).Info("Service answered.")
 	return answer, nil
 }
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -78,8 +78,8 @@
 func (c *Client) Register(r wire.Register) *Ticket {
 	t := newTicket(c, r, time.Now())
 	l := c.linkFor(r.Pool)
-	first := t.current(t.createdAt, false)
 	t.mu.Lock()
+	first := t.current(t.createdAt, false)
 	t.link = l
 	c.tickets.Store(t.id, t)
 	l.send(wire.Up{Register: &first})
@@ -228,7 +228,7 @@
 		}
 	case message.Cancel != nil:
 		if t := c.ticket(message.Cancel.ID); t != nil {
-			t.cancel(from)
+			t.cancel(from, message.Cancel)
 		}
 	}
 }
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -70,8 +70,9 @@
 	return true
 }
 
-// current returns the registration to send to an arbiter that does not know it.
+// current returns the next registration, for an arbiter that does not know the request.
 func (t *Ticket) current(now time.Time, moved bool) wire.Register {
+	t.registration.Attempt++
 	r := t.registration
 	r.Moved = moved
 	r.WaitedMS = now.Sub(t.createdAt).Milliseconds()
@@ -87,11 +88,12 @@
 }
 
 // grant takes a grant from a link and reports whether it is used. A grant from an
-// arbiter that the ticket has left is not, nor is a repeated one.
+// arbiter that the ticket has left is not, nor is a repeated one, nor one that answers an
+// earlier registration at the same arbiter.
 func (t *Ticket) grant(from link, g *wire.Grant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.link != from || t.phase != waiting {
+	if t.link != from || t.phase != waiting || g.Attempt != t.registration.Attempt {
 		return false
 	}
 	t.phase = granted
@@ -104,7 +106,7 @@
 func (t *Ticket) refuse(from link, r *wire.Refuse) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.link != from || t.phase != waiting {
+	if t.link != from || t.phase != waiting || r.Attempt != t.registration.Attempt {
 		return
 	}
 	t.phase = ended
@@ -112,10 +114,10 @@
 }
 
 // cancel takes a cancellation from a link.
-func (t *Ticket) cancel(from link) {
+func (t *Ticket) cancel(from link, c *wire.Cancel) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.link != from || t.phase == waiting || t.phase == ended {
+	if t.link != from || t.phase == waiting || t.phase == ended || c.Attempt != t.registration.Attempt {
 		return
 	}
 	select {
--- a/internal/peer/arbiter/ticket_test.go
+++ b/internal/peer/arbiter/ticket_test.go
@@ -80,6 +80,12 @@
 			c.receive(l, grantOf("a"))
 			return dispatches(ticket)
 		}, 0},
+		{"grant for an earlier registration at the same arbiter", func(c *Client, ticket *Ticket, l *fakeLink) int {
+			ticket.move(&fakeLink{})
+			ticket.move(l)
+			c.receive(l, grantOf("a"))
+			return dispatches(ticket)
+		}, 0},
 		{"two arbiters grant", func(c *Client, ticket *Ticket, l *fakeLink) int {
 			c.receive(l, grantOf("a"))
 			next := &fakeLink{}
@@ -107,7 +113,9 @@
 			<-ticket.decision
 			ticket.Unreachable()
 			n := dispatches(ticket)
-			c.receive(l, grantOf("b"))
+			second := grantOf("b")
+			second.Grant.Attempt = ticket.registration.Attempt
+			c.receive(l, second)
 			return n + dispatches(ticket)
 		}, 1},
 		{"returned after the dispatch", func(c *Client, ticket *Ticket, l *fakeLink) int {
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/pool/shard"
@@ -133,7 +132,7 @@
 	if w := s.workers[pool]; w != nil {
 		return w
 	}
-	w = newWorker(s.common.Metrics.Tagged(map[string]string{"pool": string(pool)}), pool)
+	w = newWorker(pool)
 	w.configure(s.board)
 	s.workers[pool] = w
 	s.log.WithField("pool", pool).Info("Shard opened.")
@@ -176,16 +175,21 @@
 	return nil
 }
 
+// registered is the latest registration of a request.
+type registered struct {
+	session *Session
+	attempt int
+}
+
 // worker runs one shard and knows which session each request belongs to.
 type worker struct {
 	mu       sync.Mutex
 	shard    *shard.Shard
-	sessions map[wire.RequestID]*Session
-	metrics  tally.Scope
+	sessions map[wire.RequestID]registered
 }
 
-func newWorker(metrics tally.Scope, pool object.PoolName) *worker {
-	return &worker{shard: shard.New(pool), sessions: map[wire.RequestID]*Session{}, metrics: metrics}
+func newWorker(pool object.PoolName) *worker {
+	return &worker{shard: shard.New(pool), sessions: map[wire.RequestID]registered{}}
 }
 
 func (w *worker) configure(b *board.Board) {
@@ -201,7 +205,7 @@
 func (w *worker) register(now time.Time, s *Session, r wire.Register) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.sessions[r.ID] = s
+	w.sessions[r.ID] = registered{s, r.Attempt}
 	w.carryOut(w.shard.Register(now, r))
 	if w.shard.Waiting() > 0 {
 		s.server.noteWaiting()
@@ -213,7 +217,7 @@
 func (w *worker) finish(now time.Time, s *Session, f wire.Finish) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.sessions[f.ID] != s {
+	if w.sessions[f.ID].session != s {
 		return
 	}
 	delete(w.sessions, f.ID)
@@ -223,7 +227,7 @@
 func (w *worker) withdraw(now time.Time, s *Session, id wire.RequestID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.sessions[id] != s {
+	if w.sessions[id].session != s {
 		return
 	}
 	delete(w.sessions, id)
@@ -234,7 +238,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, owner := range w.sessions {
-		if owner != s {
+		if owner.session != s {
 			continue
 		}
 		delete(w.sessions, id)
@@ -258,19 +262,18 @@
 	for _, decision := range decisions {
 		switch d := decision.(type) {
 		case shard.Grant:
-			w.metrics.Tagged(map[string]string{"tier": string(d.Tier)}).Timer("queue_delay").Record(d.Waited)
-			w.send(d.ID, wire.Down{Grant: &wire.Grant{ID: d.ID, Target: d.Target}})
+			w.send(d.ID, wire.Down{Grant: &wire.Grant{Attempt: w.sessions[d.ID].attempt, ID: d.ID, Target: d.Target}})
 		case shard.Refuse:
-			w.send(d.ID, wire.Down{Refuse: &wire.Refuse{ID: d.ID, Reason: d.Reason, RetryAfterMS: d.RetryAfter.Milliseconds()}})
+			w.send(d.ID, wire.Down{Refuse: &wire.Refuse{Attempt: w.sessions[d.ID].attempt, ID: d.ID, Reason: d.Reason, RetryAfterMS: d.RetryAfter.Milliseconds()}})
 			delete(w.sessions, d.ID)
 		case shard.Cancel:
-			w.send(d.ID, wire.Down{Cancel: &wire.Cancel{ID: d.ID}})
+			w.send(d.ID, wire.Down{Cancel: &wire.Cancel{Attempt: w.sessions[d.ID].attempt, ID: d.ID}})
 		}
 	}
 }
 
 func (w *worker) send(id wire.RequestID, message wire.Down) {
-	if s := w.sessions[id]; s != nil {
+	if s := w.sessions[id].session; s != nil {
 		s.box.Send(message)
 	}
 }
--- a/internal/peer/wire/stream.go
+++ b/internal/peer/wire/stream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 )
 
@@ -57,10 +58,24 @@
 }
 
 // ReadLoop passes each JSON line to handle until the stream ends. It calls onSilence
-// when nothing has arrived for the timeout, which must end the stream.
+// when nothing has arrived for the timeout, which must end the stream. onSilence is never
+// called after ReadLoop has returned.
 func ReadLoop[T any](r io.Reader, timeout time.Duration, onSilence func(), handle func(T)) error {
-	silence := time.AfterFunc(timeout, onSilence)
-	defer silence.Stop()
+	var mu sync.Mutex
+	ended := false
+	silence := time.AfterFunc(timeout, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			onSilence()
+		}
+	})
+	defer func() {
+		silence.Stop()
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+	}()
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, 4096), MaxMessageBytes)
 	for scanner.Scan() {
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -41,6 +41,8 @@
 	// WaitedMS is how long the request has waited already.
 	WaitedMS int64 `json:"waited-ms,omitempty"`
 	Phase    Phase `json:"phase"`
+	// Attempt counts the registrations of the request; decisions name the one they answer.
+	Attempt int `json:"attempt,omitempty"`
 	// Target is where the request runs, set in phase running only.
 	Target object.TargetName `json:"target,omitempty"`
 	// Moved says that another arbiter knew the request before.
@@ -71,12 +73,14 @@
 
 // Grant permits the front to dispatch a request to a target.
 type Grant struct {
-	ID     RequestID         `json:"id"`
-	Target object.TargetName `json:"target"`
+	Attempt int               `json:"attempt,omitempty"` // Of the registration.
+	ID      RequestID         `json:"id"`
+	Target  object.TargetName `json:"target"`
 }
 
 // Refuse tells the front that a waiting request will not be run.
 type Refuse struct {
+	Attempt      int            `json:"attempt,omitempty"` // Of the registration.
 	ID           RequestID      `json:"id"`
 	Reason       outcome.Reason `json:"reason"`
 	RetryAfterMS int64          `json:"retry-after-ms"`
@@ -84,7 +88,8 @@
 
 // Cancel tells the front to stop a running request in favour of a higher tier.
 type Cancel struct {
-	ID RequestID `json:"id"`
+	Attempt int       `json:"attempt,omitempty"` // Of the registration.
+	ID      RequestID `json:"id"`
 }
 
 // Up is one message from a front to an arbiter; one field is set, or none for a
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -166,9 +166,13 @@
 // Finish ends a granted request and frees its slot.
 func (s *Shard) Finish(now time.Time, f wire.Finish) []Decision {
 	q := s.requests[f.ID]
-	if q == nil || q.target == nil {
+	if q == nil {
 		return nil
 	}
+	if q.target == nil {
+		// The front has ended a request that counts as waiting here; it must not be granted.
+		return s.Withdraw(now, f.ID)
+	}
 	t := q.target
 	s.stopRunning(q)
 	s.forget(q)
