--- /dev/null
+++ b/internal/control/discovery/discovery.go
@@ -0,0 +1,369 @@
+// Package discovery follows the platform's store: the operator's configuration, the
+// targets that registered themselves, and the other entry hosts. It puts what it learns
+// on the board and registers this host.
+package discovery
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"redwinglock/internal/platform/hosts"
+	"redwinglock/internal/platform/store"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
+)
+
+// HostsPrefix is the prefix below which entry hosts register themselves.
+const HostsPrefix = "redwinglock/hosts/"
+
+const (
+	// watchWait is how long one call waits for changes.
+	watchWait = 2 * time.Second
+	// minRetry and maxRetry bound the pause after a failed call to the store.
+	minRetry = 100 * time.Millisecond
+	maxRetry = time.Second
+	// batchPause lets changes that come together arrive in one answer.
+	batchPause = 50 * time.Millisecond
+	// lapseGrace is how long an entry that vanished around an outage of the store is still
+	// believed: its owner writes it again within two seconds of the return.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// Translator turns what the store holds into named objects.
+type Translator interface {
+	// ConfigKey is the key of the whole configuration.
+	ConfigKey() string
+	// TargetsPrefix is the prefix below which targets register themselves.
+	TargetsPrefix() string
+	// Config decodes a configuration.
+	Config(data []byte) (object.Revision, []object.Object, error)
+	// Target decodes the entry of a target.
+	Target(key string, data []byte) (*object.Target, error)
+}
+
+// Controller follows the store.
+type Controller struct {
+	common     *common.Common
+	log        *logrus.Entry
+	board      *board.Board
+	tree       store.Tree
+	translator Translator
+
+	mu sync.Mutex
+	// raw is the content of each known key, to tell real changes from repeated ones.
+	raw     map[string][]byte
+	base    *object.Snapshot // Without discovered targets.
+	targets map[string]*object.Target
+	hosts   map[string]board.Member
+	// vanished are entries of targets that are taken for gone at the given time.
+	vanished       map[string]time.Time
+	targetRevision object.Revision
+	// troubleAt is when the store last failed a call.
+	troubleAt time.Time
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// New creates a controller and starts it.
+func New(c *common.Common, b *board.Board, tree store.Tree, translator Translator) *Controller {
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Controller{
+		common:     c,
+		log:        c.Log("discovery"),
+		board:      b,
+		tree:       tree,
+		translator: translator,
+		raw:        map[string][]byte{},
+		targets:    map[string]*object.Target{},
+		hosts:      map[string]board.Member{},
+		vanished:   map[string]time.Time{},
+		stop:       stop,
+	}
+	d.done.Go(func() { d.follow(ctx) })
+	d.done.Go(func() { d.expireLoop(ctx) })
+	return d
+}
+
+// Close stops the controller and waits for it.
+func (d *Controller) Close() error {
+	d.stop()
+	d.done.Wait()
+	return nil
+}
+
+// follow lists the store and applies its changes until ctx ends.
+func (d *Controller) follow(ctx context.Context) {
+	var revision int64
+	retry := minRetry
+	available := true
+	for ctx.Err() == nil {
+		next, err := d.step(ctx, revision)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			if !available {
+				d.log.WithField("store-revision", next).Info("Store regained.")
+			}
+			available = true
+			revision, retry = next, minRetry
+			continue
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			d.log.WithField("store-revision", revision).Warn("History is gone, the store is listed again.")
+			revision = 0
+			d.noteTrouble()
+			continue
+		}
+		if available {
+			d.log.WithError(err).Warn("Store lost.")
+		}
+		available = false
+		d.noteTrouble()
+		d.common.CountRetry("store-read")
+		pause(ctx, retry)
+		retry = min(2*retry, maxRetry)
+	}
+}
+
+// step makes one call and returns the revision from which to go on.
+func (d *Controller) step(ctx context.Context, revision int64) (int64, error) {
+	if revision == 0 {
+		items, listed, err := d.tree.List(ctx, "")
+		if err != nil {
+			return 0, err
+		}
+		d.replace(items)
+		return listed, nil
+	}
+	items, next, err := d.tree.Follow(ctx, "", revision, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if len(items) > 0 {
+		d.apply(items)
+		pause(ctx, batchPause)
+	}
+	return next, nil
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+func (d *Controller) noteTrouble() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.troubleAt = time.Now()
+}
+
+// replace takes a whole list: keys that are not in it have been deleted.
+func (d *Controller) replace(items []store.Item) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := make(map[string]bool, len(items))
+	changed := false
+	for _, i := range items {
+		listed[i.Key] = true
+		changed = d.take(i) || changed
+	}
+	for key := range d.raw {
+		if !listed[key] {
+			changed = d.take(store.Item{Key: key, Deleted: true}) || changed
+		}
+	}
+	if changed {
+		d.publish()
+	}
+}
+
+// apply takes changes in their order.
+func (d *Controller) apply(items []store.Item) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for _, i := range items {
+		changed = d.take(i) || changed
+	}
+	if changed {
+		d.publish()
+	}
+}
+
+// take files one item and reports whether the board must change.
+func (d *Controller) take(i store.Item) bool {
+	switch {
+	case i.Key == d.translator.ConfigKey():
+		return !i.Deleted && d.takeConfig(i)
+	case strings.HasPrefix(i.Key, d.translator.TargetsPrefix()):
+		return d.takeTarget(i)
+	case strings.HasPrefix(i.Key, HostsPrefix):
+		d.takeHost(i)
+	}
+	return false
+}
+
+// takeConfig puts a configuration in force if it is newer and valid as a whole.
+func (d *Controller) takeConfig(i store.Item) bool {
+	if bytes.Equal(d.raw[i.Key], i.Data) {
+		return false
+	}
+	d.raw[i.Key] = i.Data
+	revision, objects, err := d.translator.Config(i.Data)
+	var snapshot *object.Snapshot
+	if err == nil {
+		snapshot, err = object.Compile(revision, "", objects)
+	}
+	if err != nil {
+		d.common.Metrics.Counter("config_refused").Inc(1)
+		d.log.WithError(err).WithField("revision", revision).Error("Configuration refused, the old one stays.")
+		return false
+	}
+	if d.base != nil && d.base.Revision >= revision {
+		d.log.WithFields(logrus.Fields{"revision": revision, "in-force": d.base.Revision}).Warn("Older configuration ignored.")
+		return false
+	}
+	d.base = snapshot
+	d.common.Metrics.Gauge("config_revision").Update(float64(revision))
+	d.log.WithFields(logrus.Fields{"revision": revision, "store-revision": i.Revision}).Info("Configuration in force.")
+	return true
+}
+
+func (d *Controller) takeTarget(i store.Item) bool {
+	if i.Deleted {
+		return d.loseTarget(i.Key)
+	}
+	delete(d.vanished, i.Key)
+	if bytes.Equal(d.raw[i.Key], i.Data) {
+		return false
+	}
+	d.raw[i.Key] = i.Data
+	t, err := d.translator.Target(i.Key, i.Data)
+	if err == nil {
+		err = object.CheckTarget(t)
+	}
+	if err != nil {
+		d.log.WithError(err).WithField("key", i.Key).Warn("Entry of a target skipped.")
+		_, known := d.targets[i.Key]
+		delete(d.targets, i.Key)
+		return known
+	}
+	before := d.targets[i.Key]
+	if before != nil && *before == *t {
+		return false // Only its counter has changed.
+	}
+	d.targets[i.Key] = t
+	d.log.WithFields(logrus.Fields{"target": t.Name, "pool": t.Pool, "drain": t.Drain, "store-revision": i.Revision}).Info("Target changed.")
+	return true
+}
+
+// loseTarget handles the end of an entry. Around an outage of the store entries expire
+// though their owners live; they are given time to come back.
+func (d *Controller) loseTarget(key string) bool {
+	if d.targets[key] == nil {
+		delete(d.raw, key)
+		return false
+	}
+	if since := time.Since(d.troubleAt); since < lapseGrace {
+		d.vanished[key] = time.Now().Add(lapseGrace)
+		d.log.WithFields(logrus.Fields{"key": key, "store-trouble-age": since.String()}).Info("Entry expired around an outage, target kept for now.")
+		return false
+	}
+	d.dropTarget(key, "entry deleted")
+	return true
+}
+
+func (d *Controller) dropTarget(key, cause string) {
+	d.log.WithFields(logrus.Fields{"target": d.targets[key].Name, "cause": cause}).Info("Target gone.")
+	delete(d.raw, key)
+	delete(d.targets, key)
+	delete(d.vanished, key)
+}
+
+// expireLoop drops targets that have not come back after an outage.
+func (d *Controller) expireLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, lapseGrace/10)
+		d.expire(time.Now())
+	}
+}
+
+func (d *Controller) expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for key, at := range d.vanished {
+		if now.After(at) {
+			d.dropTarget(key, "entry did not come back after an outage")
+			changed = true
+		}
+	}
+	if changed {
+		d.publish()
+	}
+}
+
+func (d *Controller) takeHost(i store.Item) {
+	if i.Deleted {
+		delete(d.raw, i.Key)
+		delete(d.hosts, i.Key)
+		return
+	}
+	var m board.Member
+	if err := json.Unmarshal(i.Data, &m); err != nil {
+		d.log.WithError(err).WithField("key", i.Key).Warn("Entry of a host skipped.")
+		return
+	}
+	d.raw[i.Key] = i.Data
+	d.hosts[i.Key] = m
+}
+
+// publish puts the configuration with the current targets on the board.
+func (d *Controller) publish() {
+	if d.base == nil {
+		return
+	}
+	d.targetRevision++
+	targets := make([]*object.Target, 0, len(d.targets))
+	for _, t := range d.targets {
+		targets = append(targets, t)
+	}
+	d.board.SetConfig(d.base.WithTargets(d.targetRevision, targets))
+}
+
+// List implements member.Lister with the hosts that are registered in the store.
+func (d *Controller) List(context.Context) ([]hosts.Group, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	groups := make([]hosts.Group, 0, len(d.hosts))
+	for _, m := range d.hosts {
+		state := hosts.StateLive
+		if m.Leaving {
+			state = hosts.StateLeaving
+		}
+		groups = append(groups, hosts.Group{Labels: map[string]string{
+			hosts.LabelRole:      hosts.RoleEntry,
+			hosts.LabelName:      m.Name,
+			hosts.LabelZone:      string(m.Zone),
+			hosts.LabelState:     state,
+			hosts.LabelPeerURL:   m.PeerURL,
+			hosts.LabelCallerURL: m.CallerURL,
+		}})
+	}
+	return groups, nil
+}
+
+// Nudge implements member.Nudger. News of the configuration comes from the store.
+func (d *Controller) Nudge(object.Revision, string) {}
--- /dev/null
+++ b/internal/control/host/gateway.go
@@ -0,0 +1,199 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"redwinglock/internal/control/discovery"
+	"redwinglock/internal/control/member"
+	"redwinglock/internal/entry/gateway"
+	"redwinglock/internal/fleet/passthrough"
+	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/http2"
+	"redwinglock/internal/platform/store"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/settings"
+)
+
+const (
+	// callerIdleTimeout is longer than callers keep idle connections for reuse.
+	callerIdleTimeout = 60 * time.Second
+	// callerHeaderTimeout bounds the time to send the header of a request.
+	callerHeaderTimeout = 10 * time.Second
+	maxCallerHeader     = 64 << 10
+	// leaveTimeout bounds the time to tell peers and the store of a stop.
+	leaveTimeout = time.Second
+	metricsPath  = "/metrics"
+)
+
+// RunGateway starts a host that passes requests on, waits for a signal and stops it.
+func RunGateway(s *settings.Settings, tree store.Tree, translator discovery.Translator, dialect gateway.Dialect) error {
+	gin.SetMode(gin.ReleaseMode)
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(s.Gateway.StopServe+s.Stop.Limit+closeTimeout),
+		fx.Supply(s),
+		fx.Provide(
+			func() store.Tree { return tree },
+			func() discovery.Translator { return translator },
+			func() gateway.Dialect { return dialect },
+			newMetrics,
+			newCommon,
+			newBoard,
+			newDiscovery,
+			newRegistrar,
+			newGatewayMembers,
+			newFrontServer,
+			newArbiterClient,
+			newPassthrough,
+			gateway.New,
+		),
+		fx.Invoke(runGateway),
+	)
+	if err := app.Err(); err != nil {
+		return fmt.Errorf("wire host: %w", err)
+	}
+	return runApp(app)
+}
+
+func newDiscovery(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree, t discovery.Translator) *discovery.Controller {
+	d := discovery.New(c, b, tree, t)
+	lc.Append(fx.StopHook(d.Close))
+	return d
+}
+
+func newRegistrar(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree) *discovery.Registrar {
+	r := discovery.NewRegistrar(c, b, tree)
+	lc.Append(fx.StopHook(r.Close))
+	return r
+}
+
+func newGatewayMembers(lc fx.Lifecycle, c *common.Common, b *board.Board, d *discovery.Controller) *member.Controller {
+	transport := &member.HTTPTransport{Client: http2.New(c.Settings.Peers.LinkTimeout, nil), Key: c.Settings.Peers.Key}
+	m := member.NewController(c, b, transport, d, d)
+	lc.Append(fx.StopHook(m.Close))
+	return m
+}
+
+func newPassthrough(lc fx.Lifecycle) *passthrough.Client {
+	client := passthrough.New()
+	lc.Append(fx.StopHook(client.Close))
+	return client
+}
+
+// gatewayParams are the parts of a running gateway host.
+type gatewayParams struct {
+	fx.In
+	Common    *common.Common
+	Board     *board.Board
+	Members   *member.Controller
+	Registrar *discovery.Registrar
+	Arbiters  *front.Server
+	Gateway   *gateway.Server
+	Metrics   http.Handler `name:"metrics"`
+}
+
+// gatewayHost is a running host.
+type gatewayHost struct {
+	gatewayParams
+	log     *logrus.Entry
+	callers *listener
+	others  []*listener
+}
+
+// runGateway opens the listeners at the start and carries out the planned stop.
+func runGateway(lc fx.Lifecycle, p gatewayParams) {
+	h := &gatewayHost{gatewayParams: p, log: p.Common.Log("host")}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return h.start() },
+		OnStop:  h.stop,
+	})
+}
+
+func (h *gatewayHost) start() error {
+	s := h.Common.Settings
+	others := []struct {
+		address string
+		server  *http.Server
+	}{
+		{s.Peers.Listen, newServer(peerHandler(h.Common, h.Arbiters, h.Members, nil))},
+		{s.Gateway.Readiness, newCallerServer(h.Gateway.ReadinessHandler())},
+		{s.Gateway.Directory, newCallerServer(h.Gateway.DirectoryHandler())},
+	}
+	for _, o := range others {
+		l, err := listen(o.address, nil, o.server)
+		if err != nil {
+			return err
+		}
+		h.others = append(h.others, l)
+	}
+	if s.Gateway.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle(metricsPath, h.Metrics)
+		l, err := listen(s.Gateway.Metrics, nil, newCallerServer(mux))
+		if err != nil {
+			return err
+		}
+		h.others = append(h.others, l)
+	}
+	l, err := listen(s.Gateway.Callers, nil, newCallerServer(h.Gateway.Handler()))
+	if err != nil {
+		return err
+	}
+	h.callers = l
+	h.log.WithFields(logrus.Fields{"host": s.Host, "zone": s.Zone, "run": h.Board.Members().Self.Run}).Info("Host started.")
+	return nil
+}
+
+func newCallerServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    maxCallerHeader,
+	}
+}
+
+// stop withdraws the address and hands the pools over, serves callers that still know the
+// address for a while, then waits for the requests in flight.
+func (h *gatewayHost) stop(ctx context.Context) error {
+	h.log.WithField("in-flight", h.Gateway.Active()).Info("Stop began.")
+	h.Board.SetStopping()
+	var leaving sync.WaitGroup
+	leaving.Go(func() {
+		leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
+		defer cancel()
+		h.Members.Leave(leaveCtx)
+	})
+	var registrarErr error
+	leaving.Go(func() { registrarErr = h.Registrar.Close() })
+	pause(ctx, h.Common.Settings.Gateway.StopServe)
+	leaving.Wait()
+	limit, cancel := context.WithTimeout(ctx, h.Common.Settings.Stop.Limit)
+	defer cancel()
+	errs := []error{registrarErr, h.callers.shutdown(limit), h.Gateway.Close()}
+	h.log.Info("All requests have ended.")
+	for _, l := range h.others {
+		// The streams of peers do not end by themselves.
+		brief, cancelBrief := context.WithTimeout(ctx, otherCloseTimeout)
+		if err := l.shutdown(brief); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			errs = append(errs, err)
+		}
+		cancelBrief()
+	}
+	return errors.Join(errs...)
+}
+
+// otherCloseTimeout is the time for peers and the platform to end their calls.
+const otherCloseTimeout = 100 * time.Millisecond
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -81,6 +81,11 @@
 	if err := app.Err(); err != nil {
 		return fmt.Errorf("wire host: %w", err)
 	}
+	return runApp(app)
+}
+
+// runApp starts an application, waits for a signal and stops it.
+func runApp(app *fx.App) error {
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
--- a/internal/control/host/peers.go
+++ b/internal/control/host/peers.go
@@ -16,7 +16,8 @@
 // maxHeartbeatBytes bounds a heartbeat.
 const maxHeartbeatBytes = 256 << 10
 
-// peerHandler serves the other entry hosts.
+// peerHandler serves the other entry hosts. The follower is nil on a host that gets its
+// configuration from the platform's store only.
 func peerHandler(c *common.Common, arbiters *front.Server, members *member.Controller, follower *catalog.Follower) http.Handler {
 	router := gin.New()
 	router.Use(gin.Recovery(), requirePeer(c))
@@ -30,6 +31,9 @@
 		}
 		c.JSON(http.StatusOK, members.Answer(h))
 	})
+	if follower == nil {
+		return router
+	}
 	router.GET(wire.ConfigPath, func(c *gin.Context) {
 		state := follower.State()
 		if state == nil {
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -229,9 +229,6 @@
 	return 0
 }
 
-// listReaders is the number of hosts that read the platform's list; they pass its news on.
-const listReaders = 3
-
 // readList reads the platform's list of hosts at intervals, on the few hosts that do so
 // for all, and on a host that has no live peer yet.
 func (m *Controller) readList(ctx context.Context) {
@@ -240,7 +237,7 @@
 	defer ticker.Stop()
 	for {
 		members := m.board.Members()
-		if len(members.Live) == 1 || members.Ranks("host-list", listReaders) {
+		if len(members.Live) == 1 || members.Ranks("host-list", m.common.Settings.Hosts.Readers) {
 			m.readListOnce(ctx)
 		}
 		select {
--- a/internal/entry/caller/completion.go
+++ b/internal/entry/caller/completion.go
@@ -53,7 +53,7 @@
 	completionRequest
 	chat  bool
 	path  string
-	route object.Route
+	route object.ModelRoute
 	body  []byte // As sent to the engine.
 
 	target     *object.Target
@@ -112,7 +112,7 @@
 	if n := job.outputTokens(); n < 1 || n > maxOutputTokens {
 		return nil, outcome.Invalid("max_tokens", "%d is not between 1 and %d", n, maxOutputTokens)
 	}
-	route, found := r.snapshot.Route(job.Model)
+	route, found := r.snapshot.ModelRoute(job.Model)
 	if !found {
 		failure := outcome.Failure{Outcome: outcome.NotRun, Reason: outcome.UnknownModel, Field: "model", Message: "model: does not exist"}
 		return nil, failure.Err()
--- /dev/null
+++ b/internal/entry/gateway/forward.go
@@ -0,0 +1,384 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+
+	"redwinglock/internal/fleet/passthrough"
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+const (
+	// maxRejections bounds how many targets may refuse one request.
+	maxRejections = 3
+	// rejectedRetryAfter is the retry hint when all targets that were asked have refused.
+	rejectedRetryAfter = 300 * time.Millisecond
+	// minLeft is the shortest time that is worth sending a request for.
+	minLeft = 20 * time.Millisecond
+)
+
+func pickBelow(n int) int {
+	if n <= 1 {
+		return 0
+	}
+	return rand.IntN(n)
+}
+
+// attemptResult is how one attempt has ended without a complete answer.
+type attemptResult int
+
+const (
+	// answered attempts need nothing more.
+	answered attemptResult = iota
+	// lost attempts were sent, may have run and have no complete answer.
+	lost
+)
+
+// forward sends a request to targets until one has answered it completely or nothing more
+// may be done.
+func (s *Server) forward(c *gin.Context, r *request) error {
+	ctx, cancel := context.WithDeadline(c.Request.Context(), r.deadline)
+	defer cancel()
+	s.repeats.noteRequest(r.pool, r.arrived)
+	a := &answer{writer: c.Writer, request: r}
+	for attempt := 1; ; attempt++ {
+		result, err := s.attempt(ctx, c.Request, r, a)
+		if result == answered {
+			return err
+		}
+		if ctx.Err() != nil {
+			return s.outOfTime(ctx, a)
+		}
+		if !s.mayRepeat(r, a, attempt) {
+			return err
+		}
+		s.common.CountRetry("target-lost")
+		r.log.WithError(err).WithFields(logrus.Fields{"attempt": attempt, "tried": r.tried, "events": a.events.count}).Info("Request sent again.")
+	}
+}
+
+// mayRepeat reports whether a request that may have run can be sent to another target.
+func (s *Server) mayRepeat(r *request, a *answer, attempts int) bool {
+	repeatable := r.route.Repeatable() && !a.started || r.route.Execution == object.Stream && r.route.Resumable
+	if !repeatable || attempts >= r.route.MaxAttempts || time.Until(r.deadline) < minLeft {
+		return false
+	}
+	return s.repeats.take(r.pool, time.Now())
+}
+
+// outOfTime returns the failure of a request whose caller has gone or whose time is up
+// after it was sent.
+func (s *Server) outOfTime(ctx context.Context, a *answer) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return outcome.Lost(outcome.Unknown, outcome.TargetSilent, "the time was up before the answer was complete")
+	}
+	return outcome.Lost(outcome.Unknown, outcome.CallerGone, "the caller closed the connection")
+}
+
+// attempt waits for a target and sends the request to it. Targets that have not run the
+// request are replaced.
+func (s *Server) attempt(ctx context.Context, caller *http.Request, r *request, a *answer) (attemptResult, error) {
+	ticket := s.arbiters.Register(s.registration(r))
+	for rejections := 0; ; {
+		name, err := s.arbiters.Wait(ctx, ticket)
+		if err != nil {
+			return answered, s.waitFailed(a, err)
+		}
+		target := s.findTarget(r, name)
+		if target == nil || !ticket.Dispatch() {
+			ticket.Unreachable()
+			continue
+		}
+		finish, err := s.send(ctx, caller, r, target, a)
+		switch {
+		case err == nil:
+			ticket.Finish(finish)
+			return answered, nil
+		case errors.Is(err, passthrough.ErrNotSent):
+			r.log.WithError(err).WithField("target", name).Info("Target not reached.")
+			s.common.CountRetry("target-unreachable")
+			finish.Unreachable = ctx.Err() == nil
+			if ctx.Err() != nil {
+				ticket.Finish(finish)
+				return answered, s.waitFailed(a, outcome.Refuse(outcome.DeadlinePassed, 0, "the time was up before a target was reached"))
+			}
+			ticket.Return(finish)
+		case errors.Is(err, errNotRun):
+			r.tried = append(r.tried, name)
+			rejections++
+			s.common.CountRetry("target-rejected")
+			if rejections >= maxRejections || !s.repeats.take(r.pool, time.Now()) {
+				finish.Rejected = true
+				ticket.Finish(finish)
+				return answered, s.waitFailed(a, outcome.Refuse(outcome.TargetRefused, rejectedRetryAfter, "the targets are full"))
+			}
+			finish.Rejected = true
+			ticket.Return(finish)
+		default:
+			a.mayHaveRun = true
+			r.tried = append(r.tried, name)
+			finish.Failed = ctx.Err() == nil
+			ticket.Finish(finish)
+			return lost, err
+		}
+	}
+}
+
+// waitFailed returns the failure of an attempt that was not sent. If an attempt before it
+// was, the request may have run.
+func (s *Server) waitFailed(a *answer, err error) error {
+	if !a.mayHaveRun {
+		return err
+	}
+	return outcome.Lost(outcome.Unknown, outcome.TargetLost, "the target was lost and no other took the request: %v", err)
+}
+
+func (s *Server) registration(r *request) wire.Register {
+	w := wire.Register{
+		ID:           s.newID(),
+		Pool:         r.pool,
+		Tier:         r.tier(),
+		PromptTokens: max(r.demand.PromptTokens, 1),
+		OutputTokens: r.demand.OutputTokens,
+		Prefixes:     r.demand.Prefixes,
+		DeadlineMS:   max(time.Until(r.deadline).Milliseconds(), 1),
+		Avoid:        r.tried,
+	}
+	if r.demand.ExpectedOutput > 0 {
+		w.OutputTokens = min(r.demand.ExpectedOutput, r.demand.OutputTokens)
+	}
+	if r.route.Objective > 0 {
+		objective := time.Duration(r.route.Objective)
+		left := objective - time.Since(r.arrived)
+		w.ObjectiveMS = max(left.Milliseconds()*startShareMax/100, 1)
+		w.MaxWaitMS = maxWait(r, objective).Milliseconds()
+	}
+	if r.account != nil {
+		w.Account = r.account.Name
+		if r.account.Quota != nil && len(r.tried) == 0 {
+			w.QuotaCost = r.account.Quota.Cost(r.demand.Tokens())
+		}
+	}
+	return w
+}
+
+// startShareMax is the part of the objective, in percent, that may pass before a request
+// is sent; the rest is for the target to begin its answer.
+const startShareMax = 70
+
+// maxWait bounds how long a request waits for a target. Callers leave a stream whose first
+// event does not come within two seconds or four times the objective.
+func maxWait(r *request, objective time.Duration) time.Duration {
+	if r.route.Execution != object.Stream {
+		return max(time.Until(r.deadline)/2, minLeft)
+	}
+	patience := max(streamPatience, 4*objective)
+	return max(patience-objective, minLeft)
+}
+
+const streamPatience = 2 * time.Second
+
+// findTarget looks a granted target up in the newest configuration. It returns nil if the
+// target has left or must not get work any more.
+func (s *Server) findTarget(r *request, name object.TargetName) *object.Target {
+	view := s.board.Config().Pool(r.pool)
+	if view == nil {
+		return nil
+	}
+	for _, t := range view.Targets {
+		if t.Name == name && !t.Drain {
+			return t
+		}
+	}
+	return nil
+}
+
+// errNotRun says that the target has not run the request.
+var errNotRun = errors.New("target has not run the request")
+
+// send sends the request to one target and passes the answer on. After an error that is
+// neither errNotRun nor passthrough.ErrNotSent the request may have run.
+func (s *Server) send(ctx context.Context, caller *http.Request, r *request, target *object.Target, a *answer) (wire.Finish, error) {
+	left := time.Until(r.deadline)
+	if left < minLeft {
+		<-ctx.Done()
+		return wire.Finish{}, passthrough.ErrNotSent
+	}
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	call := passthrough.Call{
+		Address:    target.Address,
+		Method:     caller.Method,
+		URI:        caller.RequestURI,
+		Host:       caller.Host,
+		Header:     forwardedHeader(caller.Header),
+		Body:       r.body,
+		Repeatable: r.route.Repeatable() && len(r.body) == 0,
+	}
+	dispatch := Dispatch{Target: target.Name, Left: left, LastEventID: a.events.lastID}
+	if r.account != nil {
+		dispatch.Account = r.account.Name
+	}
+	s.dialect.WriteDispatch(call.Header, dispatch)
+	sentAt := time.Now()
+	response, err := s.targets.Do(sendCtx, call)
+	if errors.Is(err, passthrough.ErrNotSent) {
+		return wire.Finish{}, err
+	}
+	if err != nil {
+		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s: %v", target.Name, err)
+	}
+	defer response.Body.Close()
+	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
+	if reply.NotRun {
+		r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode, "wrong-target": reply.Wrong}).Info("Target refused.")
+		return wire.Finish{}, errNotRun
+	}
+	if reply.ID != r.demand.ID {
+		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s answered another request", target.Name)
+	}
+	if response.StatusCode < http.StatusMultipleChoices && !reply.Sealed {
+		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s did not seal its answer", target.Name)
+	}
+	if a.started && response.StatusCode != http.StatusOK {
+		return wire.Finish{}, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s did not resume: status %d", target.Name, response.StatusCode)
+	}
+	if response.StatusCode >= http.StatusInternalServerError && s.repeatsError(r, a) {
+		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s answered with status %d", target.Name, response.StatusCode)
+	}
+	measure, err := a.copy(response)
+	finish := wire.Finish{
+		Dispatched:   true,
+		Completed:    err == nil && response.StatusCode < http.StatusMultipleChoices,
+		PromptTokens: r.demand.PromptTokens,
+	}
+	if measure.events > 1 {
+		finish.FirstTokenMS = measure.first.Sub(sentAt).Milliseconds()
+		finish.DecodeUS = measure.last.Sub(measure.first).Microseconds() / int64(measure.events-1)
+	}
+	if err != nil {
+		return finish, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s: %v", target.Name, err)
+	}
+	r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode, "first-ms": finish.FirstTokenMS, "age": time.Since(r.arrived).String()}).Debug("Request answered.")
+	return finish, nil
+}
+
+// repeatsError reports whether an error that the target answered is worth another attempt.
+func (s *Server) repeatsError(r *request, a *answer) bool {
+	return r.route.Repeatable() && !a.started && len(r.tried)+1 < r.route.MaxAttempts && time.Until(r.deadline) > minLeft && s.repeats.left(r.pool, time.Now())
+}
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwardedHeader returns the headers of a message without those of its connection.
+func forwardedHeader(h http.Header) http.Header {
+	forwarded := h.Clone()
+	for _, name := range h.Values("Connection") {
+		forwarded.Del(name)
+	}
+	for _, name := range connectionHeaders {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
+
+// answer is the answer to one caller, which may come from several targets in turn.
+type answer struct {
+	writer  gin.ResponseWriter
+	request *request
+	events  eventSplitter
+	// started is set when the header has been sent to the caller.
+	started bool
+	// mayHaveRun is set when a target may have run the request without a whole answer.
+	mayHaveRun bool
+}
+
+// measure is what was seen of one answer.
+type measure struct {
+	events      int
+	first, last time.Time
+}
+
+// copy passes an answer on as it comes. It returns an error if the answer ended early.
+func (a *answer) copy(response *http.Response) (measure, error) {
+	if !a.started {
+		a.start(response)
+	}
+	stream := a.request.route.Execution == object.Stream && response.StatusCode == http.StatusOK
+	var m measure
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			if writeErr := a.write(buffer[:n], stream, &m); writeErr != nil {
+				return m, writeErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return m, a.end(stream)
+		}
+		if err != nil {
+			return m, err
+		}
+	}
+}
+
+const copyBufferBytes = 16 << 10
+
+func (a *answer) start(response *http.Response) {
+	header := a.writer.Header()
+	closing := header.Get("Connection")
+	for name, values := range forwardedHeader(response.Header) {
+		header[name] = values
+	}
+	if closing != "" {
+		header.Set("Connection", closing)
+	}
+	a.started = true
+	a.writer.WriteHeader(response.StatusCode)
+	a.writer.WriteHeaderNow()
+}
+
+// write passes bytes on; those of a stream in whole events, at once.
+func (a *answer) write(content []byte, stream bool, m *measure) error {
+	if !stream {
+		_, err := a.writer.Write(content)
+		return err
+	}
+	whole := a.events.add(content)
+	if len(whole) == 0 {
+		return nil
+	}
+	if m.events == 0 {
+		m.first = time.Now()
+	}
+	m.events++
+	m.last = time.Now()
+	if _, err := a.writer.Write(whole); err != nil {
+		return err
+	}
+	a.writer.Flush()
+	return nil
+}
+
+// end passes on what remains after the last event of a complete stream.
+func (a *answer) end(stream bool) error {
+	if !stream || len(a.events.rest) == 0 {
+		return nil
+	}
+	_, err := a.writer.Write(a.events.rest)
+	return err
+}
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -79,6 +79,12 @@
 	if !t.deadline.IsZero() {
 		r.DeadlineMS = max(t.deadline.Sub(now).Milliseconds(), 1)
 	}
+	if r.ObjectiveMS != 0 {
+		r.ObjectiveMS -= r.WaitedMS
+	}
+	if moved {
+		r.QuotaCost = 0 // The arbiter before has charged it.
+	}
 	r.Phase = wire.Waiting
 	if t.phase == granted || t.phase == dispatched {
 		r.Phase = wire.Running
@@ -158,6 +164,28 @@
 	t.link.send(wire.Up{Finish: &wire.Finish{ID: t.id, Pool: t.registration.Pool, Unreachable: true}})
 	t.phase = waiting
 	t.target = ""
+	t.registration.QuotaCost = 0 // It was charged when it was first registered.
+	r := t.current(time.Now(), false)
+	t.link.send(wire.Up{Register: &r})
+}
+
+// Return puts a dispatched ticket back into the queue because its target has refused the
+// request or was never reached, so that it has not run. The target is avoided from now on.
+func (t *Ticket) Return(f wire.Finish) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase != dispatched {
+		return
+	}
+	f.ID = t.id
+	f.Pool = t.registration.Pool
+	t.link.send(wire.Up{Finish: &f})
+	t.phase = waiting
+	if f.Rejected {
+		t.registration.Avoid = append(t.registration.Avoid, t.target)
+	}
+	t.target = ""
+	t.registration.QuotaCost = 0 // It was charged when it was first registered.
 	r := t.current(time.Now(), false)
 	t.link.send(wire.Up{Register: &r})
 }
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -38,6 +38,16 @@
 	Prefixes     []PrefixHash       `json:"prefixes,omitempty"`
 	// DeadlineMS is the time left until the deadline of the caller, 0 if it has none.
 	DeadlineMS int64 `json:"deadline-ms,omitempty"`
+	// ObjectiveMS is the time left within which the answer should begin, 0 if none is set
+	// and negative if it has passed.
+	ObjectiveMS int64 `json:"objective-ms,omitempty"`
+	// MaxWaitMS bounds the wait for a grant, 0 for the bound of the tier.
+	MaxWaitMS int64 `json:"max-wait-ms,omitempty"`
+	// QuotaCost is what the request uses of the quota of its account; 0 for a request that
+	// was charged before.
+	QuotaCost float64 `json:"quota-cost,omitempty"`
+	// Avoid are targets that the request was sent to before.
+	Avoid []object.TargetName `json:"avoid,omitempty"`
 	// WaitedMS is how long the request has waited already.
 	WaitedMS int64 `json:"waited-ms,omitempty"`
 	Phase    Phase `json:"phase"`
@@ -56,7 +66,11 @@
 	// Dispatched is false if the grant was not used.
 	Dispatched bool `json:"dispatched"`
 	// Unreachable is true if no connection to the target could be opened.
-	Unreachable  bool  `json:"unreachable,omitempty"`
+	Unreachable bool `json:"unreachable,omitempty"`
+	// Rejected is true if the target has refused the request and not run it.
+	Rejected bool `json:"rejected,omitempty"`
+	// Failed is true if the target broke off, answered with an error of its own or not at all.
+	Failed       bool  `json:"failed,omitempty"`
 	Completed    bool  `json:"completed,omitempty"`
 	PromptTokens int   `json:"prompt-tokens,omitempty"`
 	OutputTokens int   `json:"output-tokens,omitempty"`
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -42,6 +42,41 @@
 	Lease LeaseID // 0 for none.
 }
 
+// ErrCompacted says that the history from which a reader wanted to go on is gone. It
+// must list again.
+var ErrCompacted = errors.New("history compacted")
+
+// ErrNoLease says that the lease does not exist any more.
+var ErrNoLease = errors.New("lease has ended")
+
+// Item is a key as a list or a change shows it.
+type Item struct {
+	Key      string
+	Data     []byte
+	Revision int64
+	// Deleted items have no data.
+	Deleted bool
+}
+
+// Tree is a store whose keys can be listed and followed by prefix. All errors wrap
+// ErrUnavailable, ErrCompacted or ErrNoLease unless the request itself is wrong.
+type Tree interface {
+	// List returns all items below a prefix and the revision from which Follow goes on.
+	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	// Follow waits for changes below a prefix after a revision, at most for the given time,
+	// and returns them with the revision from which to go on.
+	Follow(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	// Txn carries out a transaction and reports whether its compares held. If not, it
+	// returns the current values of the compared keys.
+	Txn(ctx context.Context, t Transaction) (bool, []Value, error)
+	// Grant creates a lease.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews a lease.
+	KeepAlive(ctx context.Context, lease LeaseID) error
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, lease LeaseID) error
+}
+
 // KV is what redwinglock needs of a store. All errors wrap ErrUnavailable unless the
 // request itself is wrong.
 type KV interface {
--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"redwinglock/internal/peer/wire"
 )
 
 const (
@@ -106,14 +108,22 @@
 // spread by up to half so that callers do not return together.
 func (s *Shard) retryAfter(q *request) time.Duration {
 	wait := min(max(s.rate.wait(s.ahead(q)), minRetryAfter), maxRetryAfter)
+	return spread(q.ID, wait)
+}
+
+// spread adds up to half to a wait, by the id of the request.
+func spread(id wire.RequestID, wait time.Duration) time.Duration {
 	digest := fnv.New32a()
-	digest.Write([]byte(q.ID))
-	spread := time.Duration(digest.Sum32()%512) * wait / 1024
-	return wait + spread
+	digest.Write([]byte(id))
+	extra := time.Duration(digest.Sum32()%512) * wait / 1024
+	return wait + extra
 }
 
 // lowerRunning reports whether a request below the tier is running.
 func (s *Shard) lowerRunning(tier *tierQueue) bool {
+	if s.runToEnd {
+		return false // No slot will be freed for it.
+	}
 	for i := len(s.tiers) - 1; i >= 0 && s.tiers[i] != tier; i-- {
 		if len(s.tiers[i].running) > 0 {
 			return true
@@ -125,7 +135,7 @@
 // preempt cancels one running lower-tier request for each waiting request that has
 // waited for longer than its tier allows, or that would otherwise be out of time.
 func (s *Shard) preempt(now time.Time) {
-	if s.waiting == 0 || !s.anyOpen() {
+	if s.runToEnd || s.waiting == 0 || !s.anyOpen() {
 		return // No slot that is freed could be used.
 	}
 	for _, tier := range s.tiers {
--- a/internal/pool/shard/queue.go
+++ b/internal/pool/shard/queue.go
@@ -11,8 +11,11 @@
 // virtual counters, so that each gets its share of tokens whatever the size of its
 // requests.
 type tierQueue struct {
-	name         object.TierName
-	priority     int
+	name     object.TierName
+	priority int
+	// late tiers hold the requests of the tier of the same name that are out of time for
+	// their objective.
+	late         bool
 	queueTimeout time.Duration
 	preemptAfter time.Duration
 
@@ -51,15 +54,15 @@
 // requests until they end.
 func (s *Shard) configureTiers(snapshot *object.Snapshot) {
 	for name, spec := range snapshot.Tiers() {
-		tier := s.tierFor(name)
-		tier.priority = spec.Priority
-		tier.queueTimeout = time.Duration(spec.QueueTimeout)
-		tier.preemptAfter = time.Duration(spec.PreemptAfter)
+		s.tierFor(name).configure(spec)
+		if late := s.findTier(name, true); late != nil {
+			late.configure(spec)
+		}
 	}
 	s.tiers = slices.DeleteFunc(s.tiers, func(t *tierQueue) bool {
 		return snapshot.Tier(t.name) == nil && t.waiting == 0 && len(t.running) == 0
 	})
-	slices.SortStableFunc(s.tiers, func(a, b *tierQueue) int { return b.priority - a.priority })
+	s.sortTiers()
 	for _, tier := range s.tiers {
 		for name, a := range tier.accounts {
 			tier.reweigh(a, s.weight(name))
@@ -67,14 +70,63 @@
 	}
 }
 
-// tierFor returns the queue of a tier. A tier that the configuration does not know yet
-// ranks below all others.
-func (s *Shard) tierFor(name object.TierName) *tierQueue {
+func (t *tierQueue) configure(spec *object.Tier) {
+	t.priority = spec.Priority
+	t.queueTimeout = time.Duration(spec.QueueTimeout)
+	t.preemptAfter = time.Duration(spec.PreemptAfter)
+}
+
+// sortTiers puts the highest priority first, and late requests after those of their tier.
+func (s *Shard) sortTiers() {
+	slices.SortStableFunc(s.tiers, func(a, b *tierQueue) int {
+		if a.priority != b.priority {
+			return b.priority - a.priority
+		}
+		return boolToInt(a.late) - boolToInt(b.late)
+	})
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (s *Shard) findTier(name object.TierName, late bool) *tierQueue {
 	for _, tier := range s.tiers {
-		if tier.name == name {
+		if tier.name == name && tier.late == late {
 			return tier
 		}
 	}
+	return nil
+}
+
+// lateTier returns the queue for the late requests of a tier.
+func (s *Shard) lateTier(of *tierQueue) *tierQueue {
+	if late := s.findTier(of.name, true); late != nil {
+		return late
+	}
+	late := &tierQueue{
+		name:         of.name,
+		priority:     of.priority,
+		late:         true,
+		queueTimeout: of.queueTimeout,
+		preemptAfter: of.preemptAfter,
+		accounts:     map[object.AccountName]*accountQueue{},
+		active:       newIndexHeap(furthestBelow),
+	}
+	s.tiers = append(s.tiers, late)
+	s.sortTiers()
+	return late
+}
+
+// tierFor returns the queue of a tier. A tier that the configuration does not know yet
+// ranks below all others.
+func (s *Shard) tierFor(name object.TierName) *tierQueue {
+	if tier := s.findTier(name, false); tier != nil {
+		return tier
+	}
 	tier := &tierQueue{
 		name:         name,
 		queueTimeout: time.Duration(object.DefaultQueueTimeout),
@@ -192,5 +244,5 @@
 	return a.name < b.name
 }
 
-// givenUpFirst orders waiting requests by the time at which they are given up.
-func givenUpFirst(a, b *request) bool { return a.giveUpAt.Before(b.giveUpAt) }
+// dueFirst orders waiting requests by the time at which something is due for them.
+func dueFirst(a, b *request) bool { return a.dueAt.Before(b.dueAt) }
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -16,6 +16,13 @@
 	queuedAt time.Time
 	// giveUpAt is when the request is refused unless granted before.
 	giveUpAt time.Time
+	// lateAt is when the request begins to rank below those that can still be answered in
+	// time, zero if it never does.
+	lateAt time.Time
+	// dueAt is lateAt while the request is in time, else giveUpAt.
+	dueAt time.Time
+	// charged is what the request has used of the quota of its account.
+	charged float64
 	// deadline is when the caller wants the answer, zero if it did not say.
 	deadline time.Time
 	// preemptor is set once a running request was cancelled for this one.
@@ -44,6 +51,12 @@
 	}
 	q.cost = max(q.cost, 1)
 	q.giveUpAt = q.queuedAt.Add(tier.queueTimeout)
+	if r.MaxWaitMS > 0 {
+		q.giveUpAt = q.queuedAt.Add(time.Duration(r.MaxWaitMS) * time.Millisecond)
+	}
+	if r.ObjectiveMS != 0 {
+		q.lateAt = now.Add(time.Duration(r.ObjectiveMS) * time.Millisecond)
+	}
 	if r.DeadlineMS > 0 {
 		q.deadline = now.Add(time.Duration(r.DeadlineMS) * time.Millisecond)
 		if q.deadline.Before(q.giveUpAt) {
@@ -112,11 +125,25 @@
 }
 
 func (s *Shard) enqueue(q *request) {
+	q.dueAt = q.giveUpAt
+	if !q.lateAt.IsZero() && !q.tier.late && q.lateAt.Before(q.giveUpAt) {
+		q.dueAt = q.lateAt
+	}
 	q.tier.push(q)
 	s.timers.push(q)
 	s.waiting++
 }
 
+// demote moves a waiting request that can no longer be answered in time below the others
+// of its tier.
+func (s *Shard) demote(q *request) {
+	s.dequeue(q)
+	q.tier.release(q.account)
+	q.tier = s.lateTier(q.tier)
+	q.account = q.tier.account(q.Account, s.weight(q.Account))
+	s.enqueue(q)
+}
+
 func (s *Shard) dequeue(q *request) {
 	q.tier.remove(q)
 	s.timers.remove(q)
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -17,16 +17,20 @@
 type Shard struct {
 	pool       object.PoolName
 	queueLimit int
-	snapshot   *object.Snapshot
+	// runToEnd keeps running requests from being cancelled for more urgent ones.
+	runToEnd bool
+	snapshot *object.Snapshot
 
 	tiers    []*tierQueue // Highest priority first.
 	requests map[wire.RequestID]*request
 	timers   indexHeap[*request]
 	waiting  int
 
+	quotas   map[object.AccountName]*quotaBucket
 	targets  map[object.TargetName]*target
 	ready    indexHeap[*target]
 	failed   []*target // Targets that wait for their next attempt.
+	paused   []*target // Targets that have refused a request just now.
 	prefixes *prefixMap
 	leaving  map[object.TargetName]bool
 	rate     drainRate
@@ -47,7 +51,8 @@
 	return &Shard{
 		pool:     pool,
 		requests: map[wire.RequestID]*request{},
-		timers:   newIndexHeap(givenUpFirst),
+		quotas:   map[object.AccountName]*quotaBucket{},
+		timers:   newIndexHeap(dueFirst),
 		ready:    newIndexHeap(leastLoaded),
 		targets:  map[object.TargetName]*target{},
 		prefixes: newPrefixMap(),
@@ -64,6 +69,7 @@
 		view = &object.PoolView{}
 	}
 	s.queueLimit = view.QueueLimit
+	s.runToEnd = view.RunToEnd
 	s.configureTiers(snapshot)
 	s.configureTargets(view)
 	return s.step(now)
@@ -79,6 +85,7 @@
 			s.targets[spec.Name] = t
 		}
 		t.generation = spec.Generation
+		t.configure(spec, view)
 		t.closed = spec.Drain || s.leaving[spec.Name]
 		s.fixReady(t)
 	}
@@ -133,6 +140,11 @@
 // admit queues a new request, or refuses it or one that ranks below it.
 func (s *Shard) admit(now time.Time, q *request) {
 	s.requests[q.ID] = q
+	if wait, ok := s.takeQuota(now, q); !ok {
+		s.forget(q)
+		s.decisions = append(s.decisions, Refuse{q.ID, q.tier.name, outcome.AccountLimit, spread(q.ID, max(wait, minRetryAfter))})
+		return
+	}
 	s.enqueue(q)
 	if !s.anyOpen() {
 		s.refuse(q, outcome.NoTarget)
@@ -176,8 +188,13 @@
 	t := q.target
 	s.stopRunning(q)
 	s.forget(q)
-	if f.Unreachable {
+	switch {
+	case f.Unreachable:
 		s.fail(now, t)
+	case f.Rejected:
+		s.rejected(now, t)
+	case f.Failed:
+		s.failedAnswer(now, t)
 	}
 	if f.Dispatched {
 		s.settle(now, q, t, f)
@@ -210,6 +227,7 @@
 		s.stopRunning(q)
 	} else {
 		s.dequeue(q)
+		s.refundQuota(q)
 	}
 	s.forget(q)
 	return s.step(now)
@@ -241,6 +259,10 @@
 	for s.waiting > 0 {
 		q := s.next()
 		t := s.place(q)
+		if t == nil && len(q.Avoid) > 0 && s.ready.len() > 0 {
+			s.refuse(q, outcome.NoTarget) // Only targets are free that it must avoid.
+			continue
+		}
 		if t == nil {
 			return
 		}
@@ -283,8 +305,12 @@
 		reason, limit = outcome.NoTarget, reopening
 	}
 	var held []*request
-	for s.timers.len() > 0 && !limit.Before(s.timers.first().giveUpAt) {
+	for s.timers.len() > 0 && !limit.Before(s.timers.first().dueAt) {
 		q := s.timers.first()
+		if q.dueAt.Before(q.giveUpAt) {
+			s.demote(q)
+			continue
+		}
 		if s.lowerRunning(q.tier) {
 			s.timers.remove(q)
 			held = append(held, q)
@@ -294,6 +320,7 @@
 	}
 	for _, q := range held {
 		q.giveUpAt = now.Add(holdTime)
+		q.dueAt = q.giveUpAt
 		q.preemptor = false
 		s.timers.push(q)
 	}
@@ -306,6 +333,7 @@
 func (s *Shard) refuse(q *request, reason outcome.Reason) {
 	retryAfter := s.retryAfter(q)
 	s.dequeue(q)
+	s.refundQuota(q)
 	s.forget(q)
 	s.decisions = append(s.decisions, Refuse{q.ID, q.tier.name, reason, retryAfter})
 }
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -46,6 +46,15 @@
 	engine     bool
 	// closed targets get no new work.
 	closed bool
+	// fixed targets keep the limit that they were configured with.
+	fixed bool
+	zone  object.Zone
+	// startedMS tells one run of the target from the next.
+	startedMS int64
+	// pausedUntil is set while the target refuses requests.
+	pausedUntil time.Time
+	// errors counts failed answers since the last good one.
+	errors int
 
 	limit     float64
 	inFlight  int
@@ -74,13 +83,28 @@
 	}
 }
 
+// configure takes what the configuration or service discovery says about the target.
+func (t *target) configure(spec *object.Target, view *object.PoolView) {
+	t.zone = spec.Zone
+	t.fixed = view.FixedSlots
+	if t.fixed {
+		t.limit = float64(spec.Slots)
+	}
+	if t.startedMS != spec.StartedMS {
+		t.startedMS = spec.StartedMS
+		t.samples, t.speed, t.errors = 0, 1, 0
+	}
+}
+
 // slots returns how many requests the target may have in flight.
 func (t *target) slots() int {
 	switch {
-	case t.closed || !t.retryAt.IsZero():
+	case t.closed || !t.retryAt.IsZero() || !t.pausedUntil.IsZero():
 		return 0
 	case t.probing:
 		return 1
+	case t.fixed:
+		return int(t.limit)
 	case t.speed < stragglerSpeed:
 		return max(int(t.limit*t.speed), 1)
 	}
@@ -105,6 +129,7 @@
 // observe adapts the limit and the speed to a completed request.
 func (t *target) observe(now time.Time, f wire.Finish) {
 	t.failures = 0
+	t.errors = 0
 	t.probing = false
 	if !t.engine || f.DecodeUS == 0 {
 		return // Nothing was learned about the speed.
@@ -114,6 +139,9 @@
 		t.decode = float64(f.DecodeUS)
 	}
 	t.decode += speedWeight * (float64(f.DecodeUS) - t.decode)
+	if t.fixed {
+		return
+	}
 	slowStart := f.PromptTokens <= shortPrompt && time.Duration(f.FirstTokenMS)*time.Millisecond > firstTokenGoal
 	slowDecode := time.Duration(f.DecodeUS)*time.Microsecond > decodeGoal
 	if slowStart || slowDecode {
@@ -141,6 +169,32 @@
 	s.fixReady(t)
 }
 
+const (
+	// rejectPause is how long a target that refused a request gets no new one.
+	rejectPause = 50 * time.Millisecond
+	// maxErrors is the number of failed answers in a row after which a target is only
+	// probed.
+	maxErrors = 3
+)
+
+// rejected pauses a target that has refused a request as full.
+func (s *Shard) rejected(now time.Time, t *target) {
+	if t.pausedUntil.IsZero() {
+		s.paused = append(s.paused, t)
+	}
+	t.pausedUntil = now.Add(rejectPause)
+	s.fixReady(t)
+}
+
+// failedAnswer counts an answer that was broken off or an error of the target. A target
+// with several in a row is taken out like one that cannot be reached.
+func (s *Shard) failedAnswer(now time.Time, t *target) {
+	t.errors++
+	if t.errors >= maxErrors {
+		s.fail(now, t)
+	}
+}
+
 // reopen lets targets be tried again whose backoff has passed.
 func (s *Shard) reopen(now time.Time) {
 	s.failed = slices.DeleteFunc(s.failed, func(t *target) bool {
@@ -151,6 +205,14 @@
 		s.fixReady(t)
 		return true
 	})
+	s.paused = slices.DeleteFunc(s.paused, func(t *target) bool {
+		if now.Before(t.pausedUntil) {
+			return false
+		}
+		t.pausedUntil = time.Time{}
+		s.fixReady(t)
+		return true
+	})
 }
 
 // anyOpen reports whether some target may get work now or after a backoff.
@@ -227,11 +289,17 @@
 	if s.ready.len() == 0 {
 		return nil
 	}
-	least := s.ready.first()
+	least := s.leastLoaded(q)
+	if least == nil {
+		return nil
+	}
 	for i := len(q.Prefixes) - 1; i >= 0; i-- {
 		saved := float64(i+1) / float64(len(q.Prefixes))
 		var best *target
 		for _, holder := range s.prefixes.holders(q.Prefixes[i]) {
+			if slices.Contains(q.Avoid, holder.name) {
+				continue
+			}
 			if holder.readyIndex != notQueued && (best == nil || holder.load() < best.load()) {
 				best = holder
 			}
@@ -243,6 +311,21 @@
 	return least
 }
 
+// leastLoaded returns the least loaded target that the request may be sent to, or nil.
+func (s *Shard) leastLoaded(q *request) *target {
+	first := s.ready.first()
+	if !slices.Contains(q.Avoid, first.name) {
+		return first
+	}
+	var best *target
+	for _, t := range s.ready.all() {
+		if !slices.Contains(q.Avoid, t.name) && (best == nil || leastLoaded(t, best)) {
+			best = t
+		}
+	}
+	return best
+}
+
 // prefixBias is how much more loaded a target that holds the whole prefix may be.
 const prefixBias = 0.5
 
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -73,7 +73,7 @@
 func (b *Board) SetConfig(next *object.Snapshot) bool {
 	for {
 		current := b.config.Load()
-		if current != nil && current.Revision >= next.Revision {
+		if !next.Newer(current) {
 			return false
 		}
 		if b.config.CompareAndSwap(current, next) {
--- a/internal/state/object/check.go
+++ b/internal/state/object/check.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/url"
 	"regexp"
+	"strings"
 	"time"
 )
 
@@ -35,6 +36,7 @@
 	pools    map[PoolName]*Pool
 	targets  map[TargetName]*Target
 	models   map[ModelName]*Model
+	routes   map[RouteName]*Route
 	keys     map[string]AccountName
 	seen     map[Key]bool
 }
@@ -57,6 +59,7 @@
 		pools:    map[PoolName]*Pool{},
 		targets:  map[TargetName]*Target{},
 		models:   map[ModelName]*Model{},
+		routes:   map[RouteName]*Route{},
 		keys:     map[string]AccountName{},
 		seen:     map[Key]bool{},
 	}
@@ -68,6 +71,7 @@
 	c.checkPools()
 	c.checkTargets()
 	c.checkModels()
+	c.checkRoutes()
 	return c, errors.Join(c.faults...)
 }
 
@@ -104,6 +108,10 @@
 	case *Model:
 		model := *o
 		c.models[o.Name] = &model
+	case *Route:
+		route := *o
+		setDefault(&route.MaxAttempts, 1)
+		c.routes[o.Name] = &route
 	}
 }
 
@@ -133,12 +141,18 @@
 		if a.RequestsPerSecond < 0 {
 			c.fault(a, "requests-per-second", "%g is negative", a.RequestsPerSecond)
 		}
+		if a.RouteTier != "" && c.tiers[a.RouteTier] == nil {
+			c.fault(a, "route-tier", "tier %q does not exist", a.RouteTier)
+		}
+		if a.Quota != nil && (a.Quota.PerSecond <= 0 || a.Quota.Burst < 0 || a.Quota.PlainTokens < 0) {
+			c.fault(a, "quota", "needs a positive rate, and neither burst nor plain-tokens may be negative")
+		}
 		c.checkKeyHashes(a)
 	}
 }
 
 func (c *checker) checkKeyHashes(a *Account) {
-	if len(a.KeyHashes) == 0 {
+	if len(a.KeyHashes) == 0 && !a.Revoked {
 		c.fault(a, "key-hashes", "at least one key is needed")
 	}
 	for _, hash := range a.KeyHashes {
@@ -160,10 +174,16 @@
 			used[tier] = true
 		}
 	}
+	for _, a := range c.accounts {
+		used[a.RouteTier] = true
+	}
+	for _, r := range c.routes {
+		used[r.Tier] = true
+	}
 	priorities := map[int]TierName{}
 	for _, t := range c.tiers {
 		if !used[t.Name] {
-			c.fault(t, "name", "no account may use this tier")
+			c.fault(t, "name", "no account may use this tier and no route has it")
 		}
 		if other, taken := priorities[t.Priority]; taken {
 			c.fault(t, "priority", "%d is also the priority of tier/%s", t.Priority, other)
@@ -188,7 +208,7 @@
 		if p.Type != EnginePool && p.Type != ServicePool {
 			c.fault(p, "type", "%q is neither %q nor %q", p.Type, EnginePool, ServicePool)
 		}
-		if size[p.Name] == 0 {
+		if size[p.Name] == 0 && !p.Discovered {
 			c.fault(p, "name", "no target belongs to this pool")
 		}
 		if p.QueueLimit < 1 {
@@ -208,17 +228,33 @@
 		if c.pools[t.Pool] == nil {
 			c.fault(t, "pool", "pool %q does not exist", t.Pool)
 		}
-		if t.Zone == "" {
-			c.fault(t, "zone", "is missing")
-		}
-		address, err := url.Parse(t.Address)
-		if err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https") {
-			c.fault(t, "address", "%q is not an http or https URL", t.Address)
-		}
-		if t.Slots < 1 || t.Slots > maxSlots {
-			c.fault(t, "slots", "%d is not between 1 and %d", t.Slots, maxSlots)
-		}
+		c.checkTarget(t)
+	}
+}
+
+func (c *checker) checkTarget(t *Target) {
+	if t.Zone == "" {
+		c.fault(t, "zone", "is missing")
+	}
+	address, err := url.Parse(t.Address)
+	if err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https") {
+		c.fault(t, "address", "%q is not an http or https URL", t.Address)
+	}
+	if t.Slots < 1 || t.Slots > maxSlots {
+		c.fault(t, "slots", "%d is not between 1 and %d", t.Slots, maxSlots)
+	}
+}
+
+// CheckTarget checks a target that was found by service discovery, and fills in its
+// defaults. Its pool may not exist yet.
+func CheckTarget(t *Target) error {
+	setDefault(&t.Slots, DefaultSlots)
+	c := &checker{seen: map[Key]bool{}}
+	if !nameForm.MatchString(string(t.Name)) {
+		c.fault(t, "name", "%q is not made of lower-case letters, digits, dots and hyphens (at most 63)", t.Name)
 	}
+	c.checkTarget(t)
+	return errors.Join(c.faults...)
 }
 
 func (c *checker) checkModels() {
@@ -246,3 +282,49 @@
 		}
 	}
 }
+
+func (c *checker) checkRoutes() {
+	taken := map[routeKey]RouteName{}
+	for _, r := range c.routes {
+		key := routeKey{r.Host, r.PathPrefix}
+		if other, found := taken[key]; found {
+			c.fault(r, "path-prefix", "host and path are also those of route/%s", other)
+		}
+		taken[key] = r.Name
+		if r.Host == "" {
+			c.fault(r, "host", "is missing")
+		}
+		if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+			c.fault(r, "path-prefix", "%q does not begin and end with a slash", r.PathPrefix)
+		}
+		if r.Execution != Idempotent && r.Execution != NonIdempotent && r.Execution != Stream {
+			c.fault(r, "execution", "%q is not %q, %q or %q", r.Execution, Idempotent, NonIdempotent, Stream)
+		}
+		if c.tiers[r.Tier] == nil {
+			c.fault(r, "tier", "tier %q does not exist", r.Tier)
+		}
+		if r.Timeout < 0 || r.Objective < 0 || r.EventGap < 0 {
+			c.fault(r, "timeout", "timeout, objective or event-gap is negative")
+		}
+		if r.MaxAttempts < 1 {
+			c.fault(r, "max-attempts", "%d is less than 1", r.MaxAttempts)
+		}
+		c.checkRoutePools(r)
+	}
+}
+
+func (c *checker) checkRoutePools(r *Route) {
+	total := 0
+	for _, share := range r.Pools {
+		total += share.Weight
+		if c.pools[share.Pool] == nil {
+			c.fault(r, "pools", "pool %q does not exist", share.Pool)
+		}
+		if share.Weight < 0 {
+			c.fault(r, "pools", "the weight of pool %q is negative", share.Pool)
+		}
+	}
+	if total <= 0 {
+		c.fault(r, "pools", "no pool has a weight")
+	}
+}
--- a/internal/state/object/object_test.go
+++ b/internal/state/object/object_test.go
@@ -57,7 +57,7 @@
 		{"other", "", false},
 	}
 	for _, row := range routes {
-		route, found := s.Route(row.model)
+		route, found := s.ModelRoute(row.model)
 		require.Equal(t, row.found, found, row.model)
 		require.Equal(t, row.served, route.ServedName, row.model)
 	}
--- a/internal/state/object/set.go
+++ b/internal/state/object/set.go
@@ -64,6 +64,10 @@
 		header `yaml:",inline"`
 		Model  `yaml:",inline"`
 	}
+	routeDocument struct {
+		header `yaml:",inline"`
+		Route  `yaml:",inline"`
+	}
 )
 
 // ParseYAML reads the objects of one file, one YAML document each. It reports every
@@ -129,6 +133,10 @@
 		var d modelDocument
 		err := decoder.Decode(&d)
 		return &d.Model, err
+	case KindRoute:
+		var d routeDocument
+		err := decoder.Decode(&d)
+		return &d.Route, err
 	}
 	var rest yaml.Node
 	if err := decoder.Decode(&rest); err != nil {
--- a/internal/state/object/snapshot.go
+++ b/internal/state/object/snapshot.go
@@ -12,15 +12,21 @@
 // one snapshot from start to end.
 type Snapshot struct {
 	Revision Revision
-	Digest   string
+	// TargetRevision counts changes of the discovered targets; 0 if none are discovered.
+	TargetRevision Revision
+	Digest         string
 
 	accounts map[AccountName]*Account
 	byKey    map[string]*Account
 	tiers    map[TierName]*Tier
 	pools    map[PoolName]*PoolView
 	models   map[ModelName]*Model
+	routes   map[routeKey]*Route
 }
 
+// routeKey is what a request is routed by.
+type routeKey struct{ host, pathPrefix string }
+
 // PoolView is a pool with its targets, sorted by name.
 type PoolView struct {
 	Pool
@@ -29,8 +35,8 @@
 	Zones map[Zone]bool
 }
 
-// Route is where a request for a model goes.
-type Route struct {
+// ModelRoute is where a request for a model goes.
+type ModelRoute struct {
 	Pool       *PoolView
 	Version    VersionName
 	ServedName string
@@ -50,6 +56,10 @@
 		tiers:    c.tiers,
 		pools:    make(map[PoolName]*PoolView, len(c.pools)),
 		models:   c.models,
+		routes:   make(map[routeKey]*Route, len(c.routes)),
+	}
+	for _, r := range c.routes {
+		s.routes[routeKey{r.Host, r.PathPrefix}] = r
 	}
 	for hash, name := range c.keys {
 		s.byKey[hash] = c.accounts[name]
@@ -57,15 +67,58 @@
 	for name, pool := range c.pools {
 		s.pools[name] = &PoolView{Pool: *pool, Zones: map[Zone]bool{}}
 	}
+	targets := make([]*Target, 0, len(c.targets))
 	for _, target := range c.targets {
+		targets = append(targets, target)
+	}
+	s.addTargets(targets)
+	return s, nil
+}
+
+func (s *Snapshot) addTargets(targets []*Target) {
+	for _, target := range targets {
 		view := s.pools[target.Pool]
+		if view == nil {
+			continue // A discovered target of a pool that no configuration names yet.
+		}
 		view.Targets = append(view.Targets, target)
 		view.Zones[target.Zone] = true
 	}
 	for _, view := range s.pools {
 		slices.SortFunc(view.Targets, func(a, b *Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	}
-	return s, nil
+}
+
+// WithTargets returns the snapshot with the targets that service discovery has found in
+// place of its own.
+func (s *Snapshot) WithTargets(revision Revision, targets []*Target) *Snapshot {
+	next := *s
+	next.TargetRevision = revision
+	next.pools = make(map[PoolName]*PoolView, len(s.pools))
+	for name, view := range s.pools {
+		next.pools[name] = &PoolView{Pool: view.Pool, Zones: map[Zone]bool{}}
+	}
+	next.addTargets(targets)
+	return &next
+}
+
+// Newer reports whether the snapshot replaces another one: its configuration is newer,
+// or its targets are and the configuration is the same.
+func (s *Snapshot) Newer(than *Snapshot) bool {
+	if than == nil || s.Revision != than.Revision {
+		return than == nil || s.Revision > than.Revision
+	}
+	return s.TargetRevision > than.TargetRevision
+}
+
+// RouteFor returns the route with the longest path prefix that matches, or nil.
+func (s *Snapshot) RouteFor(host, path string) *Route {
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := s.routes[routeKey{host, path[:end+1]}]; r != nil {
+			return r
+		}
+	}
+	return nil
 }
 
 // HashKey returns the hex SHA-256 digest under which a key is stored.
@@ -106,13 +159,13 @@
 	return names
 }
 
-// Route finds the pool for a model named as "model" or "model@version". It returns
+// ModelRoute finds the pool for a model named as "model" or "model@version". It returns
 // false if the model or version does not exist.
-func (s *Snapshot) Route(requested string) (Route, bool) {
+func (s *Snapshot) ModelRoute(requested string) (ModelRoute, bool) {
 	name, version, _ := strings.Cut(requested, "@")
 	model := s.models[ModelName(name)]
 	if model == nil {
-		return Route{}, false
+		return ModelRoute{}, false
 	}
 	wanted := VersionName(version)
 	if wanted == "" {
@@ -126,7 +179,7 @@
 		if served == "" {
 			served = name
 		}
-		return Route{Pool: s.pools[v.Pool], Version: v.Name, ServedName: served}, true
+		return ModelRoute{Pool: s.pools[v.Pool], Version: v.Name, ServedName: served}, true
 	}
-	return Route{}, false
+	return ModelRoute{}, false
 }
--- a/internal/state/object/types.go
+++ b/internal/state/object/types.go
@@ -21,6 +21,8 @@
 	ModelName string
 	// VersionName names a version of a model.
 	VersionName string
+	// RouteName names a route.
+	RouteName string
 	// Zone names an availability zone.
 	Zone string
 	// Generation names a hardware generation.
@@ -37,6 +39,7 @@
 	KindPool    Kind = "pool"
 	KindTarget  Kind = "target"
 	KindModel   Kind = "model"
+	KindRoute   Kind = "route"
 )
 
 // Revision counts accepted change sets; a higher one is newer.
@@ -60,7 +63,8 @@
 	return nil
 }
 
-// Object is one named object. It is one of *Account, *Tier, *Pool, *Target, *Model.
+// Object is one named object. It is one of *Account, *Tier, *Pool, *Target, *Model,
+// *Route.
 type Object interface {
 	sealed()
 }
@@ -80,6 +84,34 @@
 	MaxInFlight int `json:"max-in-flight,omitempty" yaml:"max-in-flight,omitempty"`
 	// RequestsPerSecond bounds the rate of the account at one entry host. Zero: no bound.
 	RequestsPerSecond float64 `json:"requests-per-second,omitempty" yaml:"requests-per-second,omitempty"`
+	// Quota bounds what the account may run on all entry hosts together. Nil: no bound.
+	Quota *Quota `json:"quota,omitempty" yaml:"quota,omitempty"`
+	// RouteTier replaces the tier of the routes that the account uses. Empty: it does not.
+	RouteTier TierName `json:"route-tier,omitempty" yaml:"route-tier,omitempty"`
+	// Revoked accounts hold no key and cannot be used.
+	Revoked bool `json:"revoked,omitempty" yaml:"revoked,omitempty"`
+}
+
+// Quota is a rate of work with a burst.
+type Quota struct {
+	// PerSecond is the rate, in tokens or requests.
+	PerSecond float64 `json:"per-second" yaml:"per-second"`
+	// Burst is what may be used at once beyond the rate, in the same unit.
+	Burst float64 `json:"burst" yaml:"burst"`
+	// PlainTokens is the size in tokens of a request that states none. Zero: the quota
+	// counts requests.
+	PlainTokens float64 `json:"plain-tokens,omitempty" yaml:"plain-tokens,omitempty"`
+}
+
+// Cost returns what a request of the given size uses of the quota.
+func (q *Quota) Cost(tokens int) float64 {
+	switch {
+	case q.PlainTokens == 0:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	}
+	return q.PlainTokens
 }
 
 // Tier is a class of urgency.
@@ -115,6 +147,12 @@
 	SilenceTimeout Duration `json:"silence-timeout,omitempty" yaml:"silence-timeout,omitempty"`
 	// NonIdempotent marks every call to the pool as non-idempotent.
 	NonIdempotent bool `json:"non-idempotent,omitempty" yaml:"non-idempotent,omitempty"`
+	// FixedSlots keeps the limit of each target at its slots instead of learning it.
+	FixedSlots bool `json:"fixed-slots,omitempty" yaml:"fixed-slots,omitempty"`
+	// RunToEnd keeps running requests from being cancelled for more urgent ones.
+	RunToEnd bool `json:"run-to-end,omitempty" yaml:"run-to-end,omitempty"`
+	// Discovered pools get their targets from service discovery and may have none.
+	Discovered bool `json:"discovered,omitempty" yaml:"discovered,omitempty"`
 }
 
 // Target is one model engine or plain service instance.
@@ -130,6 +168,9 @@
 	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
 	// Drain stops new work for the target.
 	Drain bool `json:"drain,omitempty" yaml:"drain,omitempty"`
+	// StartedMS is when the target started, in Unix milliseconds; 0 if not known. A target
+	// that starts again under its name has lost what was cached there.
+	StartedMS int64 `json:"started-ms,omitempty" yaml:"started-ms,omitempty"`
 }
 
 // Model is a model that callers name in requests.
@@ -148,11 +189,59 @@
 	ServedName string `json:"served-name,omitempty" yaml:"served-name,omitempty"`
 }
 
+// Execution says how often a request may run and how its answer comes.
+type Execution string
+
+// The executions of a route.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Execution = "idempotent"
+	// NonIdempotent requests run at most once.
+	NonIdempotent Execution = "non-idempotent"
+	// Stream requests run at most once and are answered with server-sent events.
+	Stream Execution = "stream"
+)
+
+// Route sends the requests of a host name and path to pools as they are.
+type Route struct {
+	Name RouteName `json:"name" yaml:"name"`
+	// Host is the host name that callers ask for.
+	Host string `json:"host" yaml:"host"`
+	// PathPrefix begins and ends with a slash. The longest match wins.
+	PathPrefix string    `json:"path-prefix" yaml:"path-prefix"`
+	Execution  Execution `json:"execution" yaml:"execution"`
+	// Pools share the requests by weight.
+	Pools []WeightedPool `json:"pools" yaml:"pools"`
+	Tier  TierName       `json:"tier" yaml:"tier"`
+	// Timeout is the longest time until the final answer. Zero: no bound.
+	Timeout Duration `json:"timeout,omitempty" yaml:"timeout,omitempty"`
+	// Objective is the time within which the answer should begin. Zero: none.
+	Objective Duration `json:"objective,omitempty" yaml:"objective,omitempty"`
+	// EventGap is the longest pause between two events of a stream. Zero: none.
+	EventGap Duration `json:"event-gap,omitempty" yaml:"event-gap,omitempty"`
+	// MaxAttempts is how many targets one request may be sent to. Default 1.
+	MaxAttempts int `json:"max-attempts,omitempty" yaml:"max-attempts,omitempty"`
+	// Public routes need no key.
+	Public bool `json:"public,omitempty" yaml:"public,omitempty"`
+	// Resumable streams may go on at another target after their last event.
+	Resumable bool `json:"resumable,omitempty" yaml:"resumable,omitempty"`
+}
+
+// WeightedPool is one pool of a route with its share of the requests.
+type WeightedPool struct {
+	Pool   PoolName `json:"pool" yaml:"pool"`
+	Weight int      `json:"weight" yaml:"weight"`
+}
+
+// Repeatable reports whether a request of the route may run again from its start.
+func (r *Route) Repeatable() bool { return r.Execution == Idempotent }
+
 func (*Account) sealed() {}
 func (*Tier) sealed()    {}
 func (*Pool) sealed()    {}
 func (*Target) sealed()  {}
 func (*Model) sealed()   {}
+func (*Route) sealed()   {}
 
 // Key identifies an object within a set.
 type Key struct {
@@ -176,6 +265,8 @@
 		return Key{KindTarget, string(o.Name)}
 	case *Model:
 		return Key{KindModel, string(o.Name)}
+	case *Route:
+		return Key{KindRoute, string(o.Name)}
 	}
 	return Key{}
 }
@@ -193,6 +284,8 @@
 		return &Target{}, nil
 	case KindModel:
 		return &Model{}, nil
+	case KindRoute:
+		return &Route{}, nil
 	}
 	return nil, fmt.Errorf("kind: unknown kind %q", kind)
 }
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -34,6 +34,7 @@
 	UnknownAccount        Reason = "unknown-account"
 	UnknownModel          Reason = "unknown-model"
 	UnknownPool           Reason = "unknown-pool"
+	UnknownRoute          Reason = "unknown-route"
 	TierNotAllowed        Reason = "tier-not-allowed"
 	DeadlinePassed        Reason = "deadline-passed"
 	DeadlineUnreachable   Reason = "deadline-unreachable"
@@ -61,6 +62,7 @@
 	UnknownAccount:        http.StatusUnauthorized,
 	UnknownModel:          http.StatusNotFound,
 	UnknownPool:           http.StatusNotFound,
+	UnknownRoute:          http.StatusNotFound,
 	TierNotAllowed:        http.StatusForbidden,
 	DeadlinePassed:        http.StatusGatewayTimeout,
 	DeadlineUnreachable:   http.StatusServiceUnavailable,
--- /dev/null
+++ b/internal/state/settings/gateway.go
@@ -0,0 +1,67 @@
+package settings
+
+import "time"
+
+// Gateway are the settings of a host that passes requests on as they are.
+type Gateway struct {
+	// Callers, Readiness and Directory are the addresses of the listeners for callers, for
+	// the platform's checks and for callers that ask which addresses to use.
+	Callers   string `yaml:"callers"`
+	Readiness string `yaml:"readiness"`
+	Directory string `yaml:"directory"`
+	// Metrics is the address on which metrics are served. Empty: they are not.
+	Metrics string `yaml:"metrics"`
+	// Store is the address of the platform's store.
+	Store string `yaml:"store"`
+	// StoreTimeout bounds one call to the store. Default 1s.
+	StoreTimeout time.Duration `yaml:"store-timeout"`
+	// AddressTTL is how long callers may keep the list of addresses. Default 2s.
+	AddressTTL time.Duration `yaml:"address-ttl"`
+	// MaxBodyBytes bounds a request body. Default 4 MiB.
+	MaxBodyBytes int64 `yaml:"max-body-bytes"`
+	// RepeatShare is the share of the requests of a pool that may be sent once more.
+	// Default 0.1.
+	RepeatShare float64 `yaml:"repeat-share"`
+	// RepeatSlack is how many requests of a pool one host may send once more in ten seconds
+	// beside the share. Default 4.
+	RepeatSlack float64 `yaml:"repeat-slack"`
+	// StopServe is how long a stopping host serves callers that still know it. Default 4s.
+	StopServe time.Duration `yaml:"stop-serve"`
+}
+
+func (g *Gateway) fillIn() {
+	setDefault(&g.StoreTimeout, time.Second)
+	setDefault(&g.AddressTTL, 2*time.Second)
+	setDefault(&g.MaxBodyBytes, 4<<20)
+	setDefault(&g.RepeatShare, 0.1)
+	setDefault(&g.RepeatSlack, 4)
+	setDefault(&g.StopServe, 4*time.Second)
+}
+
+func (c *checker) checkGateway(g *Gateway) {
+	c.checkAddress(g.Callers, "gateway", "callers")
+	c.checkAddress(g.Readiness, "gateway", "readiness")
+	c.checkAddress(g.Directory, "gateway", "directory")
+	c.checkAddress(g.Store, "gateway", "store")
+	if g.Metrics != "" {
+		c.checkAddress(g.Metrics, "gateway", "metrics")
+	}
+	if g.StoreTimeout <= 0 {
+		c.fault("is too short", "gateway", "store-timeout")
+	}
+	if g.AddressTTL <= 0 {
+		c.fault("is too short", "gateway", "address-ttl")
+	}
+	if g.StopServe <= 0 {
+		c.fault("is too short", "gateway", "stop-serve")
+	}
+	if g.MaxBodyBytes < 0 {
+		c.fault("is negative", "gateway", "max-body-bytes")
+	}
+	if g.RepeatShare < 0 || g.RepeatShare > 1 {
+		c.fault("is not between 0 and 1", "gateway", "repeat-share")
+	}
+	if g.RepeatSlack < 0 {
+		c.fault("is negative", "gateway", "repeat-slack")
+	}
+}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -30,6 +30,9 @@
 	Hosts     Hosts       `yaml:"hosts"`
 	Log       Log         `yaml:"log"`
 	Stop      Stop        `yaml:"stop"`
+	// Gateway is set for a host that passes requests on as they are and follows the
+	// platform's store. It needs no listeners for callers and operators beside it.
+	Gateway *Gateway `yaml:"gateway"`
 }
 
 // TLS names the certificate of a listener. Without one the listener speaks plain HTTP.
@@ -114,6 +117,8 @@
 	URL string `yaml:"url"`
 	// Interval is the time between two reads. Default 1s.
 	Interval time.Duration `yaml:"interval"`
+	// Readers is the number of hosts that read the list and pass its news on. Default 3.
+	Readers int `yaml:"readers"`
 }
 
 // Log are the settings of the log.
@@ -182,9 +187,13 @@
 	setDefault(&s.Store.PollInterval, 15*time.Second)
 	setDefault(&s.Store.ClaimRetention, 24*time.Hour)
 	setDefault(&s.Hosts.Interval, time.Second)
+	setDefault(&s.Hosts.Readers, 3)
 	setDefault(&s.Log.Format, "text")
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Stop.Limit, 15*time.Minute)
+	if s.Gateway != nil {
+		s.Gateway.fillIn()
+	}
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -204,11 +213,13 @@
 func (c *checker) check(s *Settings) {
 	c.require(s.Host, "host")
 	c.require(string(s.Zone), "zone")
+	c.checkCommon(s)
+	if s.Gateway != nil {
+		c.checkGateway(s.Gateway)
+		return
+	}
 	c.checkListener(s.Callers.Listen, s.Callers.TLS, "callers")
 	c.checkURL(s.Callers.Advertise, "callers", "advertise")
-	c.checkListener(s.Peers.Listen, s.Peers.TLS, "peers")
-	c.checkURL(s.Peers.Advertise, "peers", "advertise")
-	c.require(s.Peers.Key, "peers", "key")
 	c.checkListener(s.Operators.Listen, s.Operators.TLS, "operators")
 	for _, key := range s.Operators.Keys {
 		if key.Name == "" || len(key.KeyHash) != 64 || (key.Role != RoleRead && key.Role != RoleWrite) {
@@ -222,6 +233,13 @@
 		c.checkURL(endpoint, "store", "endpoints")
 	}
 	c.checkURL(s.Hosts.URL, "hosts", "url")
+}
+
+// checkCommon checks what every kind of host needs.
+func (c *checker) checkCommon(s *Settings) {
+	c.checkListener(s.Peers.Listen, s.Peers.TLS, "peers")
+	c.checkURL(s.Peers.Advertise, "peers", "advertise")
+	c.require(s.Peers.Key, "peers", "key")
 	if s.Log.Format != "text" && s.Log.Format != "json" {
 		c.fault("is neither text nor json", "log", "format")
 	}
@@ -261,10 +279,14 @@
 	}
 }
 
-func (c *checker) checkListener(address string, tls *TLS, section string) {
+func (c *checker) checkAddress(address string, path ...string) {
 	if _, _, err := net.SplitHostPort(address); err != nil {
-		c.fault(fmt.Sprintf("%q is not an address with a port", address), section, "listen")
+		c.fault(fmt.Sprintf("%q is not an address with a port", address), path...)
 	}
+}
+
+func (c *checker) checkListener(address string, tls *TLS, section string) {
+	c.checkAddress(address, section, "listen")
 	if tls != nil && (tls.Certificate == "" || tls.Key == "") {
 		c.fault("needs certificate and key", section, "tls")
 	}
--- a/main.go
+++ b/main.go
@@ -14,10 +14,11 @@
 	"redwinglock/internal/entry/command"
 	"redwinglock/internal/state/object"
 	"redwinglock/internal/state/settings"
+	"redwinglock/platform"
 )
 
 type serveCommand struct {
-	Settings      string `arg:"--settings,required" help:"settings file of this host"`
+	Settings      string `arg:"--settings,required,env:REDWINGLOCK_CONFIG" help:"settings file of this host"`
 	CheckSettings bool   `arg:"--check-settings" help:"check the settings and exit"`
 }
 
@@ -113,6 +114,9 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
+	if s.Gateway != nil {
+		return host.RunGateway(s, platform.NewStore(s.Gateway.Store, s.Gateway.StoreTimeout), platform.Translator{}, platform.Dialect{})
+	}
 	return host.Run(s)
 }
 
