--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -136,12 +136,16 @@
 func newCommon(s *settings.Settings, scope tally.Scope) *common.Common { return common.New(s, scope) }
 
 func newBoard(s *settings.Settings) *board.Board {
+	callerURL := s.Callers.Advertise
+	if s.Gateway != nil {
+		callerURL = s.Gateway.Callers
+	}
 	return board.New(board.Member{
 		Name:      s.Host,
 		Zone:      s.Zone,
 		Run:       wire.HostID(s.Host + "-" + rand.Text()[:8]),
 		PeerURL:   s.Peers.Advertise,
-		CallerURL: s.Callers.Advertise,
+		CallerURL: callerURL,
 	})
 }
 
