--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -317,6 +317,8 @@
 	if !a.started {
 		a.start(response)
 	}
+	// The new target sends an event again of which the one before sent only a part.
+	a.events.reset()
 	stream := a.request.route.Execution == object.Stream && response.StatusCode == http.StatusOK
 	var m measure
 	buffer := make([]byte, copyBufferBytes)
