--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -191,7 +192,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	view := m.table.View()
-	if !slices.Equal(m.board.Members().Live, view.Live) {
+	if known := m.board.Members(); known.Registered != view.Registered || !slices.Equal(known.Live, view.Live) {
 		m.log.WithField("live", len(view.Live)).Info("Members changed.")
 		m.board.SetMembers(view)
 	}
@@ -253,6 +254,7 @@
 	switch {
 	case err == nil:
 		m.takeList(groups)
+		m.join(ctx, len(groups) > 0)
 	case errors.Is(err, hosts.ErrUnchanged) || ctx.Err() != nil:
 	default:
 		m.common.CountRetry("host-list")
@@ -260,6 +262,26 @@
 	}
 }
 
+// maxJoinProbes bounds the listed hosts that are asked at once.
+const maxJoinProbes = 16
+
+// join asks hosts that are listed and have not answered yet, so that a new host knows the
+// others before it takes requests. listed tells whether the list names any host.
+func (m *Controller) join(ctx context.Context, listed bool) {
+	m.mu.Lock()
+	unproven := m.table.Unproven()
+	m.mu.Unlock()
+	rand.Shuffle(len(unproven), func(i, j int) { unproven[i], unproven[j] = unproven[j], unproven[i] })
+	var probes sync.WaitGroup
+	for _, member := range unproven[:min(len(unproven), maxJoinProbes)] {
+		probes.Go(func() { m.probe(ctx, member) })
+	}
+	probes.Wait()
+	if listed {
+		m.board.SetJoined()
+	}
+}
+
 func (m *Controller) takeList(groups []hosts.Group) {
 	var entries []board.Member
 	leaving := []object.TargetName{}
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -261,6 +261,17 @@
 	return ""
 }
 
+// Unproven returns the listed members that have not answered a heartbeat yet.
+func (t *Table) Unproven() []board.Member {
+	var members []board.Member
+	for _, e := range t.entries {
+		if e.Status == Listed {
+			members = append(members, e.Member)
+		}
+	}
+	return members
+}
+
 // Receive takes a heartbeat or its answer: the sender is alive, and its news count. It
 // reports whether the sender is known by now; if not, it must be asked for its addresses.
 func (t *Table) Receive(now time.Time, h Heartbeat) bool {
@@ -352,7 +363,7 @@
 // View returns the live members, this host included, sorted by name. Suspects are live
 // until they are taken for dead.
 func (t *Table) View() *board.Members {
-	view := &board.Members{Self: t.self.Member, Live: []board.Member{t.self.Member}}
+	view := &board.Members{Self: t.self.Member, Live: []board.Member{t.self.Member}, Registered: 1 + len(t.entries)}
 	for _, e := range t.entries {
 		switch e.Status {
 		case Alive, Leaving, Suspect:
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -131,6 +132,7 @@
 	if s.closed.Load() {
 		return outcome.Refuse(outcome.HostStopping, stoppingRetryAfter, "this host is stopping")
 	}
+	s.awaitJoin(c.Request.Context())
 	r.snapshot = s.board.Config()
 	if r.snapshot == nil {
 		return outcome.Refuse(outcome.NoConfiguration, noConfigurationRetryAfter, "this host has no configuration yet")
@@ -153,6 +155,24 @@
 	return s.readBody(c, r)
 }
 
+// joinWait bounds how long requests wait until a new host knows the others.
+const joinWait = 400 * time.Millisecond
+
+// awaitJoin holds requests while this host does not know the others yet: it would take
+// itself for the arbiter of every pool.
+func (s *Server) awaitJoin(ctx context.Context) {
+	select {
+	case <-s.board.Joined():
+		return
+	default:
+	}
+	select {
+	case <-s.board.Joined():
+	case <-ctx.Done():
+	case <-time.After(joinWait):
+	}
+}
+
 // hostName removes a port from the Host header.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -186,10 +186,20 @@
 	mu       sync.Mutex
 	shard    *shard.Shard
 	sessions map[wire.RequestID]registered
+	// attached is when each session last registered a request.
+	attached map[*Session]time.Time
+	share    shard.Share
+	// most remembers how many hosts were registered lately.
+	most recentMax
 }
 
 func newWorker(pool object.PoolName) *worker {
-	return &worker{shard: shard.New(pool), sessions: map[wire.RequestID]registered{}}
+	return &worker{
+		shard:    shard.New(pool),
+		sessions: map[wire.RequestID]registered{},
+		attached: map[*Session]time.Time{},
+		share:    shard.Share{Slots: 1, Quota: 1},
+	}
 }
 
 func (w *worker) configure(b *board.Board) {
@@ -206,6 +216,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sessions[r.ID] = registered{s, r.Attempt}
+	w.attach(now, s)
 	w.carryOut(w.shard.Register(now, r))
 	if w.shard.Waiting() > 0 {
 		s.server.noteWaiting()
@@ -237,6 +248,7 @@
 func (w *worker) drop(now time.Time, s *Session) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	delete(w.attached, s)
 	for id, owner := range w.sessions {
 		if owner.session != s {
 			continue
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -22,10 +22,10 @@
 }
 
 // fill brings the bucket to the present.
-func (b *quotaBucket) fill(now time.Time, q *object.Quota) {
+func (b *quotaBucket) fill(now time.Time, q *object.Quota, share float64) {
 	elapsed := now.Sub(b.at).Seconds()
 	b.at = now
-	b.level = min(b.level+elapsed*q.PerSecond*(1+quotaMargin), q.Burst)
+	b.level = min(b.level+elapsed*q.PerSecond*(1+quotaMargin)*share, q.Burst*share)
 }
 
 // takeQuota charges a request to its account. If the account has used up its quota, it
@@ -37,15 +37,15 @@
 	}
 	bucket := s.quotas[q.Account]
 	if bucket == nil {
-		bucket = &quotaBucket{level: quota.Burst * startShare, at: now}
+		bucket = &quotaBucket{level: quota.Burst * startShare * s.share.Quota, at: now}
 		s.quotas[q.Account] = bucket
 	}
-	bucket.fill(now, quota)
+	bucket.fill(now, quota, s.share.Quota)
 	// A request larger than the burst passes when the bucket is full.
-	need := min(q.QuotaCost, quota.Burst)
+	need := min(q.QuotaCost, quota.Burst*s.share.Quota)
 	if bucket.level < need {
 		missing := need - bucket.level
-		return time.Duration(missing / quota.PerSecond * float64(time.Second)), false
+		return time.Duration(missing / (quota.PerSecond * s.share.Quota) * float64(time.Second)), false
 	}
 	bucket.level -= q.QuotaCost
 	q.charged = q.QuotaCost
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -5,6 +5,7 @@
 package shard
 
 import (
+	"math"
 	"time"
 
 	"redwinglock/internal/peer/wire"
@@ -19,7 +20,10 @@
 	queueLimit int
 	// runToEnd keeps running requests from being cancelled for more urgent ones.
 	runToEnd bool
-	snapshot *object.Snapshot
+	// discovered pools are shared by hosts that have no arbiter in common, so a new arbiter
+	// need not wait for the others.
+	discovered bool
+	snapshot   *object.Snapshot
 
 	tiers    []*tierQueue // Highest priority first.
 	requests map[wire.RequestID]*request
@@ -38,6 +42,12 @@
 	// comparedAt is when target speeds were last compared.
 	comparedAt time.Time
 
+	// share is the part of the pool and of all quotas that this arbiter may use, because
+	// other hosts may be served by another one.
+	share Share
+	// totalSlots is the number of slots of the targets that take work.
+	totalSlots float64
+
 	// warmUntil holds back grants while fronts register again after a change of arbiter.
 	warmUntil time.Time
 	decisions []Decision
@@ -56,9 +66,29 @@
 		ready:    newIndexHeap(leastLoaded),
 		targets:  map[object.TargetName]*target{},
 		prefixes: newPrefixMap(),
+		share:    Share{1, 1},
 	}
 }
 
+// Share is a part of a pool, from 0 to 1.
+type Share struct {
+	// Slots is the part of the slots of the targets.
+	Slots float64
+	// Quota is the part of the quotas of accounts.
+	Quota float64
+}
+
+// SetShare changes the part of the pool that this arbiter may use.
+func (s *Shard) SetShare(now time.Time, share Share) []Decision {
+	s.share = share
+	return s.step(now)
+}
+
+// full reports whether the running requests use up this arbiter's part of the slots.
+func (s *Shard) full() bool {
+	return s.share.Slots < 1 && s.Running() >= max(int(math.Ceil(s.totalSlots*s.share.Slots)), 1)
+}
+
 // Configure applies a snapshot and the set of targets that the platform reports as
 // leaving. It keeps all requests and what was learned about remaining targets.
 func (s *Shard) Configure(now time.Time, snapshot *object.Snapshot, leaving map[object.TargetName]bool) []Decision {
@@ -70,6 +100,7 @@
 	}
 	s.queueLimit = view.QueueLimit
 	s.runToEnd = view.RunToEnd
+	s.discovered = view.Discovered
 	s.configureTiers(snapshot)
 	s.configureTargets(view)
 	return s.step(now)
@@ -89,7 +120,11 @@
 		t.closed = spec.Drain || s.leaving[spec.Name]
 		s.fixReady(t)
 	}
+	s.totalSlots = 0
 	for name, t := range s.targets {
+		if !t.closed && wanted[name] {
+			s.totalSlots += t.limit
+		}
 		if wanted[name] {
 			continue
 		}
@@ -132,7 +167,7 @@
 // warm delays grants when the first request moves here from another arbiter, until the
 // fronts have registered what they know.
 func (s *Shard) warm(now time.Time) {
-	if len(s.requests) == 0 {
+	if len(s.requests) == 0 && !s.discovered {
 		s.warmUntil = now.Add(WarmUp)
 	}
 }
@@ -236,6 +271,9 @@
 // Tick acts on the passing of time.
 func (s *Shard) Tick(now time.Time) []Decision { return s.step(now) }
 
+// Discovered reports whether the targets of the pool come from service discovery.
+func (s *Shard) Discovered() bool { return s.discovered }
+
 // Waiting returns the number of waiting requests.
 func (s *Shard) Waiting() int { return s.waiting }
 
@@ -256,7 +294,7 @@
 }
 
 func (s *Shard) grantAll(now time.Time) {
-	for s.waiting > 0 {
+	for s.waiting > 0 && !s.full() {
 		q := s.next()
 		t := s.place(q)
 		if t == nil && len(q.Avoid) > 0 && s.ready.len() > 0 {
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -28,6 +28,9 @@
 type Members struct {
 	Self Member
 	Live []Member
+	// Registered counts the hosts that may be running, this one included: the live ones and
+	// those whose registration has not ended yet.
+	Registered int
 }
 
 // Hosts is the platform's list of hosts.
@@ -44,14 +47,18 @@
 	hosts    atomic.Pointer[Hosts]
 	stopping atomic.Bool
 
+	// joined is closed when the other hosts have been asked for the first time.
+	joined     chan struct{}
+	joinedOnce sync.Once
+
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
 // New creates a board for a process that knows only itself.
 func New(self Member) *Board {
-	b := &Board{changed: make(chan struct{})}
-	b.members.Store(&Members{Self: self, Live: []Member{self}})
+	b := &Board{changed: make(chan struct{}), joined: make(chan struct{})}
+	b.members.Store(&Members{Self: self, Live: []Member{self}, Registered: 1})
 	b.hosts.Store(&Hosts{})
 	return b
 }
@@ -95,6 +102,13 @@
 	b.notify()
 }
 
+// Joined is closed when the other hosts have been asked for the first time. Before, this
+// host may believe that it is alone.
+func (b *Board) Joined() <-chan struct{} { return b.joined }
+
+// SetJoined marks that the other hosts have been asked.
+func (b *Board) SetJoined() { b.joinedOnce.Do(func() { close(b.joined) }) }
+
 // SetStopping marks the beginning of a planned stop.
 func (b *Board) SetStopping() {
 	b.stopping.Store(true)
