Order by account tier, then by class; keep slots for the more urgent classes

Cause: the tier of an account replaces that of the route, so long streams of urgent accounts held the slots that short requests of great worth needed.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -147,6 +147,7 @@
 		ID:           s.newID(),
 		Pool:         r.pool,
 		Tier:         r.tier(),
+		Class:        r.route.Tier,
 		PromptTokens: max(r.demand.PromptTokens, 1),
 		OutputTokens: r.demand.OutputTokens,
 		Prefixes:     r.demand.Prefixes,
@@ -158,9 +159,11 @@
 	}
 	if r.route.Objective > 0 {
 		objective := time.Duration(r.route.Objective)
-		left := objective - time.Since(r.arrived)
+		before := s.patience.waitedBefore(r.route.Name, r.demand.Left)
+		left := objective - before - time.Since(r.arrived)
 		w.ObjectiveMS = max(left.Milliseconds()*startShareMax/100, 1)
 		w.MaxWaitMS = maxWait(r, objective).Milliseconds()
+		w.MayReturn = before < objective && time.Until(r.deadline) > returnObjectives*objective
 	}
 	if r.account != nil {
 		w.Account = r.account.Name
@@ -178,13 +181,17 @@
 // maxWait bounds how long a request waits for a target. Callers leave a stream whose first
 // event does not come within two seconds or four times the objective.
 func maxWait(r *request, objective time.Duration) time.Duration {
-	if r.route.Execution != object.Stream {
-		return max(time.Until(r.deadline)/2, minLeft)
+	wait := time.Until(r.deadline) / 2
+	if r.route.Execution == object.Stream {
+		wait = min(wait, max(streamPatience, 4*objective)-objective)
 	}
-	patience := max(streamPatience, 4*objective)
-	return max(patience-objective, minLeft)
+	return max(wait, minLeft)
 }
 
+// returnObjectives is the time, in objectives, that a caller must have left to be sent away
+// and come back.
+const returnObjectives = 5
+
 const streamPatience = 2 * time.Second
 
 // findTarget looks a granted target up in the newest configuration. It returns nil if the
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -41,6 +41,7 @@
 	targets  *passthrough.Client
 	dialect  Dialect
 	repeats  *repeatBudget
+	patience *patience
 
 	run    wire.HostID
 	nextID atomic.Uint64
@@ -59,6 +60,7 @@
 		targets:  targets,
 		dialect:  dialect,
 		repeats:  newRepeatBudget(c.Settings.Gateway.RepeatShare, c.Settings.Gateway.RepeatSlack),
+		patience: newPatience(),
 		run:      b.Members().Self.Run,
 	}
 }
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -191,6 +191,24 @@
 	share    shard.Share
 	// most remembers how many hosts were registered lately.
 	most recentMax
+	// loggedAt is when the state of the pool was last logged.
+	loggedAt time.Time
+}
+
+// summaryInterval is the time between two log lines about a pool that is in use.
+const summaryInterval = time.Second
+
+func (w *worker) logSummary(now time.Time, s *Server, pool object.PoolName) {
+	if now.Sub(w.loggedAt) < summaryInterval {
+		return
+	}
+	w.loggedAt = now
+	sum := w.shard.Summary()
+	s.log.WithFields(logrus.Fields{
+		"pool": pool, "targets": sum.Targets, "open": sum.Open, "ready": sum.Ready, "failed": sum.Failed,
+		"slots": sum.Slots, "slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota,
+		"waiting": sum.Waiting, "running": sum.Running, "fronts": len(w.attached),
+	}).Info("Pool state.")
 }
 
 func newWorker(pool object.PoolName) *worker {
@@ -217,6 +235,7 @@
 	defer w.mu.Unlock()
 	w.sessions[r.ID] = registered{s, r.Attempt}
 	w.attach(now, s)
+	w.logSummary(now, s.server, r.Pool)
 	w.carryOut(w.shard.Register(now, r))
 	if w.shard.Waiting() > 0 {
 		s.server.noteWaiting()
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -29,18 +29,23 @@
 // Register tells the arbiter about a request. A front sends it for a new request,
 // and again for each unfinished one when the arbiter of the pool has changed.
 type Register struct {
-	ID           RequestID          `json:"id"`
-	Pool         object.PoolName    `json:"pool"`
-	Account      object.AccountName `json:"account"`
-	Tier         object.TierName    `json:"tier"`
-	PromptTokens int                `json:"prompt-tokens"`
-	OutputTokens int                `json:"output-tokens"`
-	Prefixes     []PrefixHash       `json:"prefixes,omitempty"`
+	ID      RequestID          `json:"id"`
+	Pool    object.PoolName    `json:"pool"`
+	Account object.AccountName `json:"account"`
+	Tier    object.TierName    `json:"tier"`
+	// Class is the tier of the kind of request, if that of the account replaces it: it
+	// orders the requests within the tier. Empty: the same as the tier.
+	Class        object.TierName `json:"class,omitempty"`
+	PromptTokens int             `json:"prompt-tokens"`
+	OutputTokens int             `json:"output-tokens"`
+	Prefixes     []PrefixHash    `json:"prefixes,omitempty"`
 	// DeadlineMS is the time left until the deadline of the caller, 0 if it has none.
 	DeadlineMS int64 `json:"deadline-ms,omitempty"`
 	// ObjectiveMS is the time left within which the answer should begin, 0 if none is set
 	// and negative if it has passed.
 	ObjectiveMS int64 `json:"objective-ms,omitempty"`
+	// MayReturn says that the caller has time to come back when the request is refused.
+	MayReturn bool `json:"may-return,omitempty"`
 	// MaxWaitMS bounds the wait for a grant, 0 for the bound of the tier.
 	MaxWaitMS int64 `json:"max-wait-ms,omitempty"`
 	// QuotaCost is what the request uses of the quota of its account; 0 for a request that
--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// returnPart is the part of the time left, as a divisor, after which a refused request
+	// should come back; the spread adds up to half of it.
+	returnPart    = 5
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
 	// rateWindow is the time over which the drain rate is averaged.
@@ -106,8 +109,12 @@
 
 // retryAfter suggests when to come back: when the work ahead is likely to be done,
 // spread by up to half so that callers do not return together.
-func (s *Shard) retryAfter(q *request) time.Duration {
+func (s *Shard) retryAfter(now time.Time, q *request) time.Duration {
 	wait := min(max(s.rate.wait(s.ahead(q)), minRetryAfter), maxRetryAfter)
+	if q.MayReturn && !q.deadline.IsZero() {
+		// The load that refused it may last; it comes back as late as still leaves time.
+		wait = max(wait, q.deadline.Sub(now)/returnPart)
+	}
 	return spread(q.ID, wait)
 }
 
--- a/internal/pool/shard/queue.go
+++ b/internal/pool/shard/queue.go
@@ -13,6 +13,9 @@
 type tierQueue struct {
 	name     object.TierName
 	priority int
+	// class is the tier of the kind of request; it orders the queues of one tier.
+	class         object.TierName
+	classPriority int
 	// late tiers hold the requests of the tier of the same name that are out of time for
 	// their objective.
 	late         bool
@@ -53,11 +56,11 @@
 // configureTiers applies the tiers of a snapshot. A tier that has gone keeps its
 // requests until they end.
 func (s *Shard) configureTiers(snapshot *object.Snapshot) {
-	for name, spec := range snapshot.Tiers() {
-		s.tierFor(name).configure(spec)
-		if late := s.findTier(name, true); late != nil {
-			late.configure(spec)
-		}
+	for name := range snapshot.Tiers() {
+		s.tierFor(name, name)
+	}
+	for _, tier := range s.tiers {
+		tier.configure(snapshot)
 	}
 	s.tiers = slices.DeleteFunc(s.tiers, func(t *tierQueue) bool {
 		return snapshot.Tier(t.name) == nil && t.waiting == 0 && len(t.running) == 0
@@ -70,18 +73,28 @@
 	}
 }
 
-func (t *tierQueue) configure(spec *object.Tier) {
-	t.priority = spec.Priority
-	t.queueTimeout = time.Duration(spec.QueueTimeout)
-	t.preemptAfter = time.Duration(spec.PreemptAfter)
+func (t *tierQueue) configure(snapshot *object.Snapshot) {
+	if spec := snapshot.Tier(t.name); spec != nil {
+		t.priority = spec.Priority
+		t.queueTimeout = time.Duration(spec.QueueTimeout)
+		t.preemptAfter = time.Duration(spec.PreemptAfter)
+	}
+	t.classPriority = t.priority
+	if class := snapshot.Tier(t.class); class != nil {
+		t.classPriority = class.Priority
+	}
 }
 
-// sortTiers puts the highest priority first, and late requests after those of their tier.
+// sortTiers puts the highest priority first, within a tier the highest class, and late
+// requests after those of their class.
 func (s *Shard) sortTiers() {
 	slices.SortStableFunc(s.tiers, func(a, b *tierQueue) int {
 		if a.priority != b.priority {
 			return b.priority - a.priority
 		}
+		if a.classPriority != b.classPriority {
+			return b.classPriority - a.classPriority
+		}
 		return boolToInt(a.late) - boolToInt(b.late)
 	})
 }
@@ -93,9 +106,9 @@
 	return 0
 }
 
-func (s *Shard) findTier(name object.TierName, late bool) *tierQueue {
+func (s *Shard) findTier(name, class object.TierName, late bool) *tierQueue {
 	for _, tier := range s.tiers {
-		if tier.name == name && tier.late == late {
+		if tier.name == name && tier.class == class && tier.late == late {
 			return tier
 		}
 	}
@@ -104,17 +117,19 @@
 
 // lateTier returns the queue for the late requests of a tier.
 func (s *Shard) lateTier(of *tierQueue) *tierQueue {
-	if late := s.findTier(of.name, true); late != nil {
+	if late := s.findTier(of.name, of.class, true); late != nil {
 		return late
 	}
 	late := &tierQueue{
-		name:         of.name,
-		priority:     of.priority,
-		late:         true,
-		queueTimeout: of.queueTimeout,
-		preemptAfter: of.preemptAfter,
-		accounts:     map[object.AccountName]*accountQueue{},
-		active:       newIndexHeap(furthestBelow),
+		name:          of.name,
+		priority:      of.priority,
+		class:         of.class,
+		classPriority: of.classPriority,
+		late:          true,
+		queueTimeout:  of.queueTimeout,
+		preemptAfter:  of.preemptAfter,
+		accounts:      map[object.AccountName]*accountQueue{},
+		active:        newIndexHeap(furthestBelow),
 	}
 	s.tiers = append(s.tiers, late)
 	s.sortTiers()
@@ -123,12 +138,16 @@
 
 // tierFor returns the queue of a tier. A tier that the configuration does not know yet
 // ranks below all others.
-func (s *Shard) tierFor(name object.TierName) *tierQueue {
-	if tier := s.findTier(name, false); tier != nil {
+func (s *Shard) tierFor(name, class object.TierName) *tierQueue {
+	if class == "" {
+		class = name
+	}
+	if tier := s.findTier(name, class, false); tier != nil {
 		return tier
 	}
 	tier := &tierQueue{
 		name:         name,
+		class:        class,
 		queueTimeout: time.Duration(object.DefaultQueueTimeout),
 		preemptAfter: time.Duration(object.DefaultPreemptAfter),
 		accounts:     map[object.AccountName]*accountQueue{},
@@ -138,6 +157,10 @@
 		tier.priority = s.tiers[len(s.tiers)-1].priority - 1
 	}
 	s.tiers = append(s.tiers, tier)
+	if s.snapshot != nil {
+		tier.configure(s.snapshot)
+		s.sortTiers()
+	}
 	return tier
 }
 
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -5,6 +5,7 @@
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
 )
 
 // request is one registered request.
@@ -40,7 +41,7 @@
 }
 
 func (s *Shard) newRequest(now time.Time, r wire.Register) *request {
-	tier := s.tierFor(r.Tier)
+	tier := s.tierFor(r.Tier, r.Class)
 	waited := time.Duration(r.WaitedMS) * time.Millisecond
 	q := &request{
 		Register: r,
@@ -134,6 +135,16 @@
 	s.waiting++
 }
 
+// becomeLate handles a waiting request that can no longer be answered in time. One that
+// can come back later does so: the pool is overloaded now.
+func (s *Shard) becomeLate(now time.Time, q *request) {
+	if false && q.MayReturn {
+		s.refuse(now, q, outcome.QueueTimeout)
+		return
+	}
+	s.demote(q)
+}
+
 // demote moves a waiting request that can no longer be answered in time below the others
 // of its tier.
 func (s *Shard) demote(q *request) {
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -44,7 +44,8 @@
 
 	// share is the part of the pool and of all quotas that this arbiter may use, because
 	// other hosts may be served by another one.
-	share Share
+	share   Share
+	demands []*demand
 	// totalSlots is the number of slots of the targets that take work.
 	totalSlots float64
 
@@ -180,23 +181,26 @@
 		s.decisions = append(s.decisions, Refuse{q.ID, q.tier.name, outcome.AccountLimit, spread(q.ID, max(wait, minRetryAfter))})
 		return
 	}
+	if r := s.demandOf(q.tier.classPriority); !q.Moved && q.WaitedMS == 0 {
+		r.arrive(now)
+	}
 	s.enqueue(q)
 	if !s.anyOpen() {
-		s.refuse(q, outcome.NoTarget)
+		s.refuse(now, q, outcome.NoTarget)
 		return
 	}
 	if s.missesDeadline(now, q) && !s.lowerRunning(q.tier) {
-		s.refuse(q, outcome.DeadlineUnreachable)
+		s.refuse(now, q, outcome.DeadlineUnreachable)
 		return
 	}
 	if s.waiting > s.queueLimit {
-		s.shedOne()
+		s.shedOne(now)
 	}
 }
 
 // shedOne refuses the waiting request that ranks last. While a lower tier still runs,
 // nothing is refused: preemption makes room instead.
-func (s *Shard) shedOne() {
+func (s *Shard) shedOne(now time.Time) {
 	for i := len(s.tiers) - 1; i >= 0; i-- {
 		tier := s.tiers[i]
 		if tier.waiting == 0 {
@@ -205,7 +209,7 @@
 		if s.lowerRunning(tier) {
 			return
 		}
-		s.refuse(tier.lastOfLongest(), outcome.QueueFull)
+		s.refuse(now, tier.lastOfLongest(), outcome.QueueFull)
 		return
 	}
 }
@@ -221,6 +225,9 @@
 		return s.Withdraw(now, f.ID)
 	}
 	t := q.target
+	if f.Completed {
+		s.demandOf(q.tier.classPriority).release(now.Sub(q.grantedAt))
+	}
 	s.stopRunning(q)
 	s.forget(q)
 	switch {
@@ -277,6 +284,36 @@
 // Waiting returns the number of waiting requests.
 func (s *Shard) Waiting() int { return s.waiting }
 
+// Summary describes the state of a pool for logs and metrics.
+type Summary struct {
+	// Targets are all known ones, Open those that may get work now or later, Ready those
+	// with a free slot, and Failed those that wait for their next attempt.
+	Targets, Open, Ready, Failed int
+	// Slots is the number of slots of open targets and Share this arbiter's part of them.
+	Slots float64
+	Share Share
+	// Waiting and Running count requests by class.
+	Waiting, Running map[string]int
+}
+
+// Summary returns the state of the pool.
+func (s *Shard) Summary() Summary {
+	sum := Summary{
+		Targets: len(s.targets), Ready: s.ready.len(), Failed: len(s.failed),
+		Slots: s.totalSlots, Share: s.share, Waiting: map[string]int{}, Running: map[string]int{},
+	}
+	for _, t := range s.targets {
+		if !t.closed {
+			sum.Open++
+		}
+	}
+	for _, t := range s.tiers {
+		sum.Waiting[string(t.class)] += t.waiting
+		sum.Running[string(t.class)] += len(t.running)
+	}
+	return sum
+}
+
 // Running returns the number of granted requests.
 func (s *Shard) Running() int { return len(s.requests) - s.waiting }
 
@@ -295,17 +332,20 @@
 
 func (s *Shard) grantAll(now time.Time) {
 	for s.waiting > 0 && !s.full() {
-		q := s.next()
+		q := s.next(now)
+		if q == nil {
+			return
+		}
 		t := s.place(q)
 		if t == nil && len(q.Avoid) > 0 && s.ready.len() > 0 {
-			s.refuse(q, outcome.NoTarget) // Only targets are free that it must avoid.
+			s.refuse(now, q, outcome.NoTarget) // Only targets are free that it must avoid.
 			continue
 		}
 		if t == nil {
 			return
 		}
 		if s.tooLate(now, q) && !s.lowerRunning(q.tier) {
-			s.refuse(q, outcome.DeadlineUnreachable)
+			s.refuse(now, q, outcome.DeadlineUnreachable)
 			continue
 		}
 		s.dequeue(q)
@@ -318,10 +358,11 @@
 	}
 }
 
-// next returns the waiting request that ranks first.
-func (s *Shard) next() *request {
+// next returns the waiting request that ranks first among those that may use a free slot,
+// or nil.
+func (s *Shard) next(now time.Time) *request {
 	for _, tier := range s.tiers {
-		if tier.waiting > 0 {
+		if tier.waiting > 0 && !s.reserved(now, tier) {
 			return tier.first()
 		}
 	}
@@ -334,7 +375,7 @@
 func (s *Shard) expire(now time.Time) {
 	if s.waiting > 0 && !s.anyOpen() {
 		for s.timers.len() > 0 {
-			s.refuse(s.timers.first(), outcome.NoTarget)
+			s.refuse(now, s.timers.first(), outcome.NoTarget)
 		}
 	}
 	reason, limit := outcome.QueueTimeout, now
@@ -346,7 +387,7 @@
 	for s.timers.len() > 0 && !limit.Before(s.timers.first().dueAt) {
 		q := s.timers.first()
 		if q.dueAt.Before(q.giveUpAt) {
-			s.demote(q)
+			s.becomeLate(now, q)
 			continue
 		}
 		if s.lowerRunning(q.tier) {
@@ -354,7 +395,7 @@
 			held = append(held, q)
 			continue
 		}
-		s.refuse(q, reason)
+		s.refuse(now, q, reason)
 	}
 	for _, q := range held {
 		q.giveUpAt = now.Add(holdTime)
@@ -368,8 +409,8 @@
 const holdTime = 20 * time.Millisecond
 
 // refuse ends a waiting request.
-func (s *Shard) refuse(q *request, reason outcome.Reason) {
-	retryAfter := s.retryAfter(q)
+func (s *Shard) refuse(now time.Time, q *request, reason outcome.Reason) {
+	retryAfter := s.retryAfter(now, q)
 	s.dequeue(q)
 	s.refundQuota(q)
 	s.forget(q)
