--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -30,7 +30,7 @@
 	timers   indexHeap[*request]
 	waiting  int
 
-	quotas   map[object.AccountName]*quotaBucket
+	quotas   map[object.AccountName]*quotaUse
 	targets  map[object.TargetName]*target
 	ready    indexHeap[*target]
 	failed   []*target // Targets that wait for their next attempt.
@@ -62,7 +62,7 @@
 	return &Shard{
 		pool:     pool,
 		requests: map[wire.RequestID]*request{},
-		quotas:   map[object.AccountName]*quotaBucket{},
+		quotas:   map[object.AccountName]*quotaUse{},
 		timers:   newIndexHeap(dueFirst),
 		ready:    newIndexHeap(leastLoaded),
 		targets:  map[object.TargetName]*target{},
--- a/internal/state/object/check.go
+++ b/internal/state/object/check.go
@@ -144,13 +144,17 @@
 		if a.RouteTier != "" && c.tiers[a.RouteTier] == nil {
 			c.fault(a, "route-tier", "tier %q does not exist", a.RouteTier)
 		}
-		if a.Quota != nil && (a.Quota.PerSecond <= 0 || a.Quota.Burst < 0 || a.Quota.PlainTokens < 0) {
-			c.fault(a, "quota", "needs a positive rate, and neither burst nor plain-tokens may be negative")
+		if a.Quota != nil && !a.Quota.valid() {
+			c.fault(a, "quota", "needs a positive rate, and nothing may be negative")
 		}
 		c.checkKeyHashes(a)
 	}
 }
 
+func (q *Quota) valid() bool {
+	return q.PerSecond > 0 && min(q.Burst, q.PlainTokens, float64(q.Window), q.Overage, q.Slack) >= 0
+}
+
 func (c *checker) checkKeyHashes(a *Account) {
 	if len(a.KeyHashes) == 0 && !a.Revoked {
 		c.fault(a, "key-hashes", "at least one key is needed")
--- a/internal/state/object/types.go
+++ b/internal/state/object/types.go
@@ -101,6 +101,16 @@
 	// PlainTokens is the size in tokens of a request that states none. Zero: the quota
 	// counts requests.
 	PlainTokens float64 `json:"plain-tokens,omitempty" yaml:"plain-tokens,omitempty"`
+	// Window is the span over which the use is judged. Within one, rate and burst may be
+	// passed by the share Overage and by Slack. Zero: they may not.
+	Window  Duration `json:"window,omitempty" yaml:"window,omitempty"`
+	Overage float64  `json:"overage,omitempty" yaml:"overage,omitempty"`
+	Slack   float64  `json:"slack,omitempty" yaml:"slack,omitempty"`
+}
+
+// Tolerated returns what may be used in one window beyond rate and burst.
+func (q *Quota) Tolerated() float64 {
+	return (q.PerSecond*time.Duration(q.Window).Seconds()+q.Burst)*q.Overage + q.Slack
 }
 
 // Cost returns what a request of the given size uses of the quota.
--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -25,10 +25,22 @@
 	// RepeatSlack is how many requests of a pool one host may send once more in ten seconds
 	// beside the share. Default 4.
 	RepeatSlack float64 `yaml:"repeat-slack"`
+	// Quota says how far the quotas of accounts may be passed.
+	Quota Quota `yaml:"quota"`
 	// StopServe is how long a stopping host serves callers that still know it. Default 4s.
 	StopServe time.Duration `yaml:"stop-serve"`
 }
 
+// Quota says how far the quotas of accounts may be passed in a span of time.
+type Quota struct {
+	// Window is the span over which the use is judged.
+	Window time.Duration `yaml:"window"`
+	// Overage is the share by which rate and burst may be passed, Slack what may be used
+	// beside it, in tokens or requests.
+	Overage float64 `yaml:"overage"`
+	Slack   float64 `yaml:"slack"`
+}
+
 func (g *Gateway) fillIn() {
 	setDefault(&g.StoreTimeout, time.Second)
 	setDefault(&g.AddressTTL, 2*time.Second)
@@ -58,6 +70,9 @@
 	if g.MaxBodyBytes < 0 {
 		c.fault("is negative", "gateway", "max-body-bytes")
 	}
+	if g.Quota.Window < 0 || g.Quota.Overage < 0 || g.Quota.Slack < 0 {
+		c.fault("window, overage or slack is negative", "gateway", "quota")
+	}
 	if g.RepeatShare < 0 || g.RepeatShare > 1 {
 		c.fault("is not between 0 and 1", "gateway", "repeat-share")
 	}
--- a/main.go
+++ b/main.go
@@ -115,7 +115,7 @@
 		return nil
 	}
 	if s.Gateway != nil {
-		return host.RunGateway(s, platform.NewStore(s.Gateway.Store, s.Gateway.StoreTimeout), platform.Translator{}, platform.Dialect{})
+		return host.RunGateway(s, platform.NewStore(s.Gateway.Store, s.Gateway.StoreTimeout), platform.Translator{Quota: s.Gateway.Quota}, platform.Dialect{})
 	}
 	return host.Run(s)
 }
