--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -1,84 +1,79 @@
 package shard
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// demandWindow is the time over which arrivals are counted.
-	demandWindow = 500 * time.Millisecond
-	// demandRise and demandFall are the weights of a window with more or fewer arrivals than
-	// before. The rate rises faster, because work that has begun is not called back.
-	demandRise = 0.5
-	demandFall = 0.15
-	// holdWeight is the weight of a new sample in the mean time that a slot is held.
-	holdWeight = 0.05
-	// initialHold is assumed before anything has ended.
-	initialHold = 300 * time.Millisecond
-	// reserveMargin is what is kept free for more urgent work beyond its mean need.
+	// demandRise and demandFall are the time constants with which the demand of a class
+	// follows its requests. It rises faster, because work that has begun is not called back.
+	demandRise = 300 * time.Millisecond
+	demandFall = 1500 * time.Millisecond
+	// reserveMargin is what is kept free for more urgent work, as a factor on its demand.
 	reserveMargin = 1.15
-	// minTierShare is the part of the slots that even the least urgent work may use.
-	minTierShare = 0.15
+	// minClassShare is the part of the slots that even the least urgent work may use.
+	minClassShare = 0.15
 )
 
-// demand is what the requests of one class need of the pool.
+// demand follows how many slots the requests of one class need: those that run and those
+// that wait in time for their objective.
 type demand struct {
 	priority int // Of the class.
-	// perSecond is the rate of arrivals and hold the mean time that each holds a slot.
-	perSecond float64
-	hold      time.Duration
-
-	since time.Time
-	count int
-}
-
-func (d *demand) arrive(now time.Time) {
-	d.roll(now)
-	d.count++
+	slots    float64
+	at       time.Time
 }
 
-// roll closes the window if it is over.
-func (d *demand) roll(now time.Time) {
-	elapsed := now.Sub(d.since)
-	if elapsed < demandWindow {
-		return
+func (d *demand) follow(now time.Time, current float64) {
+	span := demandFall
+	if current > d.slots {
+		span = demandRise
 	}
-	if d.since.IsZero() {
-		d.since = now
-		return
-	}
-	rate := float64(d.count) / elapsed.Seconds()
-	weight := demandFall
-	if rate > d.perSecond {
-		weight = demandRise
-	}
-	d.perSecond += (rate - d.perSecond) * weight
-	d.since = now
-	d.count = 0
+	weight := 1 - math.Exp(-now.Sub(d.at).Seconds()/span.Seconds())
+	d.slots += (current - d.slots) * weight
+	d.at = now
 }
 
-func (d *demand) release(held time.Duration) {
-	d.hold += time.Duration(float64(held-d.hold) * holdWeight)
-}
-
-// slots returns how many slots the requests need at a time.
-func (d *demand) slots() float64 { return d.perSecond * d.hold.Seconds() }
-
 // demandOf returns the demand of the classes with a priority.
-func (s *Shard) demandOf(priority int) *demand {
+func (s *Shard) demandOf(now time.Time, priority int) *demand {
 	for _, d := range s.demands {
 		if d.priority == priority {
 			return d
 		}
 	}
-	d := &demand{priority: priority, hold: initialHold}
+	d := &demand{priority: priority, at: now}
 	s.demands = append(s.demands, d)
 	return d
 }
 
+// followDemand brings the demands of all classes to the present.
+func (s *Shard) followDemand(now time.Time) {
+	if !s.runToEnd {
+		return
+	}
+	for _, t := range s.tiers {
+		s.demandOf(now, t.classPriority)
+	}
+	for _, d := range s.demands {
+		current := 0
+		for _, t := range s.tiers {
+			if t.classPriority != d.priority {
+				continue
+			}
+			current += len(t.running)
+			if !t.late {
+				current += t.waiting
+			}
+		}
+		d.follow(now, float64(current))
+	}
+}
+
 // reserved reports whether the free slots are kept for classes that are more urgent than
 // that of the queue: together with all that is no more urgent, it uses up what is left beside
 // their need. This holds for all accounts, because work of the least urgent class can hold a
 // slot many times as long as the most urgent.
-func (s *Shard) reserved(now time.Time, tier *tierQueue) bool {
+func (s *Shard) reserved(tier *tierQueue) bool {
 	if !s.runToEnd {
 		return false // Slots are taken back from less urgent work when they are needed.
 	}
@@ -86,8 +81,7 @@
 	need := 0.0
 	for _, d := range s.demands {
 		if d.priority > tier.classPriority {
-			d.roll(now)
-			need += d.slots()
+			need += d.slots
 		}
 	}
 	if need == 0 {
@@ -99,6 +93,6 @@
 			running += len(t.running)
 		}
 	}
-	limit := max(budget-need*reserveMargin, budget*minTierShare, 1)
+	limit := max(budget-need*reserveMargin, budget*minClassShare, 1)
 	return float64(running) >= limit
 }
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -181,9 +181,6 @@
 		s.decisions = append(s.decisions, Refuse{q.ID, q.tier.name, outcome.AccountLimit, spread(q.ID, max(wait, minRetryAfter))})
 		return
 	}
-	if r := s.demandOf(q.tier.classPriority); !q.Moved && q.WaitedMS == 0 {
-		r.arrive(now)
-	}
 	s.enqueue(q)
 	if !s.anyOpen() {
 		s.refuse(now, q, outcome.NoTarget)
@@ -225,9 +222,6 @@
 		return s.Withdraw(now, f.ID)
 	}
 	t := q.target
-	if f.Completed {
-		s.demandOf(q.tier.classPriority).release(now.Sub(q.grantedAt))
-	}
 	s.stopRunning(q)
 	s.forget(q)
 	switch {
@@ -331,8 +325,9 @@
 }
 
 func (s *Shard) grantAll(now time.Time) {
+	s.followDemand(now)
 	for s.waiting > 0 && !s.full() {
-		q := s.next(now)
+		q := s.next()
 		if q == nil {
 			return
 		}
@@ -360,9 +355,9 @@
 
 // next returns the waiting request that ranks first among those that may use a free slot,
 // or nil.
-func (s *Shard) next(now time.Time) *request {
+func (s *Shard) next() *request {
 	for _, tier := range s.tiers {
-		if tier.waiting > 0 && !s.reserved(now, tier) {
+		if tier.waiting > 0 && !s.reserved(tier) {
 			return tier.first()
 		}
 	}
