Try failed targets of discovered pools again within 1.5 s

Cause: four crashed engines stayed out for 19 s after a crash of 5 s, because the pause doubled up to 30 s.

--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -24,6 +24,9 @@
 
 	minBackoff = time.Second
 	maxBackoff = 30 * time.Second
+	// discoveredMinBackoff and discoveredMaxBackoff are for targets of discovered pools.
+	discoveredMinBackoff = 250 * time.Millisecond
+	discoveredMaxBackoff = 1500 * time.Millisecond
 
 	// speedWeight is the weight of a new sample in the mean speed of a target.
 	speedWeight = 0.2
@@ -160,6 +163,10 @@
 // fail takes a target out until its next attempt, with exponential backoff.
 func (s *Shard) fail(now time.Time, t *target) {
 	backoff := min(minBackoff<<min(t.failures, 5), maxBackoff)
+	if s.discovered {
+		// Targets that are gone for good leave the list, so the others are tried again soon.
+		backoff = min(discoveredMinBackoff<<min(t.failures, 5), discoveredMaxBackoff)
+	}
 	t.failures++
 	t.probing = true
 	if t.retryAt.IsZero() {
