--- a/internal/bench/capacity/arbiter.go
+++ b/internal/bench/capacity/arbiter.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := shard.New(pool)
+	s := shard.New(pool, shard.NewQuotas())
 	now := time.Unix(0, 0)
 	s.Configure(now, snapshot, nil)
 	for i := range poolSize * slotsEach {
@@ -111,7 +111,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s := shard.New(pool)
+	s := shard.New(pool, shard.NewQuotas())
 	now := time.Unix(0, 0)
 	s.Configure(now, snapshot, nil)
 	return grown(func() any {
@@ -134,7 +134,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s := shard.New(pool)
+	s := shard.New(pool, shard.NewQuotas())
 	now := time.Unix(0, 0)
 	s.Configure(now, snapshot, nil)
 	started := time.Now()
--- a/internal/bench/capacity/membership.go
+++ b/internal/bench/capacity/membership.go
@@ -121,12 +121,12 @@
 		table.Fail(g.now, to.Name)
 		return nil
 	}
-	request, err := g.pass(table.Compose(to.Name, table.Knows(to.Name), g.revisions[from]))
+	request, err := g.pass(table.Compose(to.Name, table.Knows(to.Name), member.Knowledge{Config: g.revisions[from]}))
 	if err != nil {
 		return err
 	}
 	peer.Receive(g.now, request)
-	answer, err := g.pass(peer.Compose(from, request.Knows, g.revisions[to.Name]))
+	answer, err := g.pass(peer.Compose(from, request.Knows, member.Knowledge{Config: g.revisions[to.Name]}))
 	if err != nil {
 		return err
 	}
--- a/internal/bench/decisions/policies.go
+++ b/internal/bench/decisions/policies.go
@@ -61,7 +61,7 @@
 		return nil, fmt.Errorf("create scheduler: %w", err)
 	}
 	p := &scheduler{snapshot: snapshot, jobs: map[wire.RequestID]*job{}, running: map[object.TierName]int{}}
-	p.shard = shard.New(pool)
+	p.shard = shard.New(pool, shard.NewQuotas())
 	p.shard.Configure(epoch, snapshot, nil)
 	return p, nil
 }
@@ -96,7 +96,7 @@
 
 // lose replaces the shard by a new one, as after the loss of its arbiter.
 func (p *scheduler) lose(w *world) {
-	p.shard = shard.New(pool)
+	p.shard = shard.New(pool, shard.NewQuotas())
 	p.carryOut(w, p.shard.Configure(epoch.Add(w.now), p.snapshot, nil))
 	for id := range len(p.jobs) {
 		j := p.jobs[wire.RequestID(strconv.Itoa(id))]
--- a/internal/control/catalog/follower.go
+++ b/internal/control/catalog/follower.go
@@ -14,10 +14,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"redwinglock/internal/control/member"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
-	"redwinglock/internal/state/object"
 )
 
 const (
@@ -76,9 +76,9 @@
 // State returns the state in force, or nil.
 func (f *Follower) State() *State { return f.state.Load() }
 
-// Nudge tells the follower that a peer has a configuration of the given revision.
-func (f *Follower) Nudge(revision object.Revision, peerURL string) {
-	if current := f.board.Config(); current != nil && current.Revision >= revision {
+// Nudge tells the follower which configuration a peer has.
+func (f *Follower) Nudge(known member.Knowledge, peerURL string) {
+	if current := f.board.Config(); current != nil && current.Revision >= known.Config {
 		return
 	}
 	f.hint.Store(&peerURL)
--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/platform/hosts"
 	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/board"
@@ -57,7 +58,15 @@
 	tree       store.Tree
 	translator Translator
 
+	peers *http2.Client
+	// hint is the URL of a peer that knows more, empty if none does.
+	hint chan string
+
 	mu sync.Mutex
+	// revision is how far the store has been followed, here or by a peer that told of it.
+	revision int64
+	// answeredAt is when the store last answered.
+	answeredAt time.Time
 	// raw is the content of each known key, to tell real changes from repeated ones.
 	raw     map[string][]byte
 	base    *object.Snapshot // Without discovered targets.
@@ -74,7 +83,7 @@
 }
 
 // New creates a controller and starts it.
-func New(c *common.Common, b *board.Board, tree store.Tree, translator Translator) *Controller {
+func New(c *common.Common, b *board.Board, tree store.Tree, translator Translator, peers *http2.Client) *Controller {
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Controller{
 		common:     c,
@@ -82,6 +91,8 @@
 		board:      b,
 		tree:       tree,
 		translator: translator,
+		peers:      peers,
+		hint:       make(chan string, 1),
 		raw:        map[string][]byte{},
 		targets:    map[string]*object.Target{},
 		hosts:      map[string]board.Member{},
@@ -90,6 +101,7 @@
 	}
 	d.done.Go(func() { d.follow(ctx) })
 	d.done.Go(func() { d.expireLoop(ctx) })
+	d.done.Go(func() { d.readPeers(ctx) })
 	return d
 }
 
@@ -97,31 +109,29 @@
 func (d *Controller) Close() error {
 	d.stop()
 	d.done.Wait()
-	return nil
+	return d.peers.Close()
 }
 
 // follow lists the store and applies its changes until ctx ends.
 func (d *Controller) follow(ctx context.Context) {
-	var revision int64
 	retry := minRetry
 	available := true
 	for ctx.Err() == nil {
-		next, err := d.step(ctx, revision)
+		err := d.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
 			if !available {
-				d.log.WithField("store-revision", next).Info("Store regained.")
+				d.log.WithField("store-revision", d.board.StoreRevision()).Info("Store regained.")
 			}
 			available = true
-			revision, retry = next, minRetry
+			retry = minRetry
 			continue
 		}
 		if errors.Is(err, store.ErrCompacted) {
-			d.log.WithField("store-revision", revision).Warn("History is gone, the store is listed again.")
-			revision = 0
-			d.noteTrouble()
+			d.log.WithField("store-revision", d.board.StoreRevision()).Warn("History is gone, the store is listed again.")
+			d.compacted()
 			continue
 		}
 		if available {
@@ -135,25 +145,49 @@
 	}
 }
 
-// step makes one call and returns the revision from which to go on.
-func (d *Controller) step(ctx context.Context, revision int64) (int64, error) {
+// step makes one call and takes what it brings.
+func (d *Controller) step(ctx context.Context) error {
+	revision := d.followed()
 	if revision == 0 {
 		items, listed, err := d.tree.List(ctx, "")
 		if err != nil {
-			return 0, err
+			return err
 		}
-		d.replace(items)
-		return listed, nil
+		d.replace(items, listed)
+		return nil
 	}
 	items, next, err := d.tree.Follow(ctx, "", revision, watchWait)
 	if err != nil {
-		return 0, err
+		return err
 	}
+	d.apply(items, revision, next)
 	if len(items) > 0 {
-		d.apply(items)
 		pause(ctx, batchPause)
 	}
-	return next, nil
+	return nil
+}
+
+// followed returns how far the store has been followed, 0 if it must be listed.
+func (d *Controller) followed() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+// setRevision needs the lock.
+func (d *Controller) setRevision(revision int64) {
+	d.revision = revision
+	if revision > 0 {
+		d.board.SetStoreRevision(revision)
+	}
+}
+
+// compacted makes the next call a list.
+func (d *Controller) compacted() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setRevision(0)
+	d.troubleAt = time.Now()
 }
 
 func pause(ctx context.Context, span time.Duration) {
@@ -169,10 +203,17 @@
 	d.troubleAt = time.Now()
 }
 
-// replace takes a whole list: keys that are not in it have been deleted.
-func (d *Controller) replace(items []store.Item) {
+// replace takes a whole list of the store: keys that are not in it have been deleted.
+func (d *Controller) replace(items []store.Item, revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.answeredAt = time.Now()
+	d.setRevision(revision)
+	d.takeAll(items)
+}
+
+// takeAll needs the lock.
+func (d *Controller) takeAll(items []store.Item) {
 	listed := make(map[string]bool, len(items))
 	changed := false
 	for _, i := range items {
@@ -189,10 +230,15 @@
 	}
 }
 
-// apply takes changes in their order.
-func (d *Controller) apply(items []store.Item) {
+// apply takes changes in their order, unless a peer has told of newer ones meanwhile.
+func (d *Controller) apply(items []store.Item, after, next int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.answeredAt = time.Now()
+	if d.revision != after {
+		return
+	}
+	d.setRevision(next)
 	changed := false
 	for _, i := range items {
 		changed = d.take(i) || changed
@@ -364,6 +410,3 @@
 	}
 	return groups, nil
 }
-
-// Nudge implements member.Nudger. News of the configuration comes from the store.
-func (d *Controller) Nudge(object.Revision, string) {}
--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -68,7 +68,7 @@
 }
 
 func newDiscovery(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree, t discovery.Translator) *discovery.Controller {
-	d := discovery.New(c, b, tree, t)
+	d := discovery.New(c, b, tree, t, http2.New(c.Settings.Peers.LinkTimeout, nil))
 	lc.Append(fx.StopHook(d.Close))
 	return d
 }
@@ -98,6 +98,7 @@
 	Common    *common.Common
 	Board     *board.Board
 	Members   *member.Controller
+	Discovery *discovery.Controller
 	Registrar *discovery.Registrar
 	Arbiters  *front.Server
 	Gateway   *gateway.Server
@@ -127,7 +128,7 @@
 		address string
 		server  *http.Server
 	}{
-		{s.Peers.Listen, newServer(peerHandler(h.Common, h.Arbiters, h.Members, nil))},
+		{s.Peers.Listen, newServer(serveItems(peerHandler(h.Common, h.Arbiters, h.Members), h.Discovery))},
 		{s.Gateway.Readiness, newCallerServer(h.Gateway.ReadinessHandler())},
 		{s.Gateway.Directory, newCallerServer(h.Gateway.DirectoryHandler())},
 	}
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -248,7 +248,7 @@
 			callerServer.ReadTimeout = s.Callers.ReadTimeout
 			callerServer.MaxHeaderBytes = s.Callers.MaxHeaderBytes
 			err := errors.Join(
-				p.open(s.Peers.Listen, s.Peers.TLS, newServer(peerHandler(c, arbiters, members, follower))),
+				p.open(s.Peers.Listen, s.Peers.TLS, newServer(serveConfig(peerHandler(c, arbiters, members), follower))),
 				p.open(s.Operators.Listen, s.Operators.TLS, newServer(operators.Handler())),
 				p.open(s.Callers.Listen, s.Callers.TLS, callerServer),
 			)
--- a/internal/control/host/peers.go
+++ b/internal/control/host/peers.go
@@ -7,6 +7,7 @@
 	"github.com/gin-gonic/gin"
 
 	"redwinglock/internal/control/catalog"
+	"redwinglock/internal/control/discovery"
 	"redwinglock/internal/control/member"
 	"redwinglock/internal/peer/front"
 	"redwinglock/internal/peer/wire"
@@ -16,9 +17,8 @@
 // maxHeartbeatBytes bounds a heartbeat.
 const maxHeartbeatBytes = 256 << 10
 
-// peerHandler serves the other entry hosts. The follower is nil on a host that gets its
-// configuration from the platform's store only.
-func peerHandler(c *common.Common, arbiters *front.Server, members *member.Controller, follower *catalog.Follower) http.Handler {
+// peerHandler serves the other entry hosts what all kinds of host have in common.
+func peerHandler(c *common.Common, arbiters *front.Server, members *member.Controller) *gin.Engine {
 	router := gin.New()
 	router.Use(gin.Recovery(), requirePeer(c))
 	router.POST(wire.LinkPath, arbiters.ServeLink)
@@ -31,9 +31,11 @@
 		}
 		c.JSON(http.StatusOK, members.Answer(h))
 	})
-	if follower == nil {
-		return router
-	}
+	return router
+}
+
+// serveConfig gives peers the configuration that the operators of redwinglock published.
+func serveConfig(router *gin.Engine, follower *catalog.Follower) http.Handler {
 	router.GET(wire.ConfigPath, func(c *gin.Context) {
 		state := follower.State()
 		if state == nil {
@@ -45,6 +47,12 @@
 	return router
 }
 
+// serveItems gives peers what this host knows from the platform's store.
+func serveItems(router *gin.Engine, d *discovery.Controller) http.Handler {
+	router.GET(wire.ItemsPath, func(c *gin.Context) { c.JSON(http.StatusOK, d.Items()) })
+	return router
+}
+
 // requirePeer admits processes that know the shared key.
 func requirePeer(c *common.Common) gin.HandlerFunc {
 	want := []byte(c.Settings.Peers.Key)
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -33,9 +33,18 @@
 	List(ctx context.Context) ([]hosts.Group, error)
 }
 
-// Nudger is told of peers with a newer configuration.
+// Nudger is told what a peer knows.
 type Nudger interface {
-	Nudge(revision object.Revision, peerURL string)
+	Nudge(known Knowledge, peerURL string)
+}
+
+// Knowledge says how new the knowledge of a host is.
+type Knowledge struct {
+	// Config is the revision of the configuration in force.
+	Config object.Revision
+	// Store is the revision up to which the host has followed the platform's store, 0 if it
+	// does not follow it.
+	Store int64
 }
 
 // Controller runs the membership of this process.
@@ -153,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval/2)
 	defer cancel()
 	m.mu.Lock()
-	h := m.table.Compose(target.Name, m.table.Knows(target.Name), m.revision())
+	h := m.table.Compose(target.Name, m.table.Knows(target.Name), m.knowledge())
 	m.mu.Unlock()
 	answer, err := m.transport.Send(ctx, target.PeerURL, h)
 	if err != nil {
@@ -162,7 +171,7 @@
 	m.mu.Lock()
 	m.table.Receive(time.Now(), answer)
 	m.mu.Unlock()
-	m.nudger.Nudge(answer.Revision, target.PeerURL)
+	m.nudger.Nudge(answer.knowledge(), target.PeerURL)
 	return nil
 }
 
@@ -170,11 +179,11 @@
 func (m *Controller) Answer(h Heartbeat) Heartbeat {
 	m.mu.Lock()
 	m.table.Receive(time.Now(), h)
-	answer := m.table.Compose(h.From, h.Knows, m.revision())
+	answer := m.table.Compose(h.From, h.Knows, m.knowledge())
 	peerURL := m.table.PeerURL(h.From)
 	m.mu.Unlock()
 	if peerURL != "" {
-		m.nudger.Nudge(h.Revision, peerURL)
+		m.nudger.Nudge(h.knowledge(), peerURL)
 	}
 	m.publish()
 	return answer
@@ -223,6 +232,10 @@
 	return true
 }
 
+func (m *Controller) knowledge() Knowledge {
+	return Knowledge{Config: m.revision(), Store: m.board.StoreRevision()}
+}
+
 func (m *Controller) revision() object.Revision {
 	if config := m.board.Config(); config != nil {
 		return config.Revision
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -63,13 +63,18 @@
 	// Member is set if the receiver does not know this incarnation of the sender.
 	Member   *board.Member   `json:"member,omitempty"`
 	Revision object.Revision `json:"revision"`
-	Rumours  []Rumour        `json:"rumours,omitempty"`
+	// StoreRevision is how far the sender has followed the platform's store.
+	StoreRevision int64    `json:"store-revision,omitempty"`
+	Rumours       []Rumour `json:"rumours,omitempty"`
 	// LeavingVersion is the version of the list of leaving targets that the sender has.
 	LeavingVersion int64 `json:"leaving-version,omitempty"`
 	// Leaving is the list itself, set if the receiver is not known to have it.
 	Leaving *LeavingList `json:"leaving,omitempty"`
 }
 
+// knowledge returns what the sender knows.
+func (h *Heartbeat) knowledge() Knowledge { return Knowledge{h.Revision, h.StoreRevision} }
+
 // LeavingList lists the targets that the platform is about to stop.
 type LeavingList struct {
 	Targets []object.TargetName `json:"targets"`
@@ -178,8 +183,8 @@
 // Compose returns the heartbeat for a member. knows is the incarnation of this host that
 // the member is known to have, 0 if that is not known. If the member is not believed alive
 // it is told so, and can prove otherwise.
-func (t *Table) Compose(to string, knows uint64, revision object.Revision) Heartbeat {
-	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: revision}
+func (t *Table) Compose(to string, knows uint64, known Knowledge) Heartbeat {
+	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: known.Config, StoreRevision: known.Store}
 	if t.self.Status != Alive {
 		h.Status = t.self.Status
 	}
--- a/internal/control/member/table_test.go
+++ b/internal/control/member/table_test.go
@@ -54,9 +54,9 @@
 		table.Fail(m.now, to)
 		return
 	}
-	h := table.Compose(to, table.Knows(to), 1)
+	h := table.Compose(to, table.Knows(to), Knowledge{Config: 1})
 	peer.Receive(m.now, h)
-	answer := peer.Compose(from, h.Knows, 1)
+	answer := peer.Compose(from, h.Knows, Knowledge{Config: 1})
 	if m.cut(to, from) {
 		table.Fail(m.now, to)
 		return
@@ -140,7 +140,7 @@
 	m := newMesh(t, 60)
 	m.rounds(120)
 	for name, table := range m.tables {
-		h := table.Compose("entry-0", table.Knows("entry-0"), 1)
+		h := table.Compose("entry-0", table.Knows("entry-0"), Knowledge{Config: 1})
 		if name != "entry-0" {
 			require.Nil(t, h.Member, name)
 			require.Empty(t, h.Rumours, name)
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -21,6 +21,9 @@
 const (
 	// suspicion is how long an arbiter is avoided after its link has failed.
 	suspicion = 2 * time.Second
+	// sharedDuty stands for all pools whose targets are discovered. They have one arbiter,
+	// because quotas hold for all pools together.
+	sharedDuty object.PoolName = "discovered-pools"
 	// unusedRetryAfter is the retry hint when no arbiter has decided.
 	unusedRetryAfter = time.Second
 )
@@ -115,10 +118,15 @@
 func (c *Client) linkFor(pool object.PoolName) link {
 	members := c.board.Members()
 	var zones map[object.Zone]bool
+	duty := pool
 	if config := c.board.Config(); config != nil && config.Pool(pool) != nil {
-		zones = config.Pool(pool).Zones
+		view := config.Pool(pool)
+		zones = view.Zones
+		if view.Discovered {
+			duty = sharedDuty
+		}
 	}
-	owner := members.Owner(pool, zones, c.usable)
+	owner := members.Owner(duty, zones, c.usable)
 	if owner.Name == members.Self.Name {
 		owner.PeerURL = ""
 	}
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -30,6 +30,9 @@
 	// waiting receives a value when a request begins to wait.
 	waiting chan struct{}
 
+	attached attachments
+	quotas   *shard.Quotas
+
 	mu      sync.RWMutex
 	workers map[object.PoolName]*worker
 }
@@ -38,12 +41,14 @@
 func New(c *common.Common, b *board.Board) *Server {
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{
-		common:  c,
-		log:     c.Log("arbiter"),
-		board:   b,
-		stop:    stop,
-		waiting: make(chan struct{}, 1),
-		workers: map[object.PoolName]*worker{},
+		common:   c,
+		log:      c.Log("arbiter"),
+		board:    b,
+		stop:     stop,
+		waiting:  make(chan struct{}, 1),
+		attached: attachments{last: map[*Session]time.Time{}},
+		quotas:   shard.NewQuotas(),
+		workers:  map[object.PoolName]*worker{},
 	}
 	s.done.Add(2)
 	go s.tick(ctx)
@@ -132,7 +137,7 @@
 	if w := s.workers[pool]; w != nil {
 		return w
 	}
-	w = newWorker(pool)
+	w = newWorker(pool, s.quotas)
 	w.configure(s.board)
 	s.workers[pool] = w
 	s.log.WithField("pool", pool).Info("Shard opened.")
@@ -168,6 +173,7 @@
 // them again, or its callers have gone with it.
 func (s *Session) Close() error {
 	now := time.Now()
+	s.server.attached.drop(s)
 	for _, w := range s.server.all() {
 		w.drop(now, s)
 	}
@@ -186,11 +192,7 @@
 	mu       sync.Mutex
 	shard    *shard.Shard
 	sessions map[wire.RequestID]registered
-	// attached is when each session last registered a request.
-	attached map[*Session]time.Time
 	share    shard.Share
-	// most remembers how many hosts were registered lately.
-	most recentMax
 	// loggedAt is when the state of the pool was last logged.
 	loggedAt time.Time
 }
@@ -207,15 +209,14 @@
 	s.log.WithFields(logrus.Fields{
 		"pool": pool, "targets": sum.Targets, "open": sum.Open, "ready": sum.Ready, "failed": sum.Failed,
 		"slots": sum.Slots, "slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota,
-		"waiting": sum.Waiting, "running": sum.Running, "fronts": len(w.attached),
+		"waiting": sum.Waiting, "running": sum.Running,
 	}).Info("Pool state.")
 }
 
-func newWorker(pool object.PoolName) *worker {
+func newWorker(pool object.PoolName, quotas *shard.Quotas) *worker {
 	return &worker{
-		shard:    shard.New(pool),
+		shard:    shard.New(pool, quotas),
 		sessions: map[wire.RequestID]registered{},
-		attached: map[*Session]time.Time{},
 		share:    shard.Share{Slots: 1, Quota: 1},
 	}
 }
@@ -234,7 +235,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sessions[r.ID] = registered{s, r.Attempt}
-	w.attach(now, s)
+	w.setShare(now, s.server.attached.note(now, s, s.server.board.Members()))
 	w.logSummary(now, s.server, r.Pool)
 	w.carryOut(w.shard.Register(now, r))
 	if w.shard.Waiting() > 0 {
@@ -242,6 +243,16 @@
 	}
 }
 
+// setShare changes the part of the pool that this arbiter may use. Pools whose targets the
+// operators configured are not shared.
+func (w *worker) setShare(now time.Time, share shard.Share) {
+	if share == w.share || !w.shard.Discovered() {
+		return
+	}
+	w.share = share
+	w.carryOut(w.shard.SetShare(now, share))
+}
+
 // finish ignores a session that the request no longer belongs to: the front has
 // registered it again over a newer one.
 func (w *worker) finish(now time.Time, s *Session, f wire.Finish) {
@@ -267,7 +278,6 @@
 func (w *worker) drop(now time.Time, s *Session) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.attached, s)
 	for id, owner := range w.sessions {
 		if owner.session != s {
 			continue
--- a/internal/peer/front/share.go
+++ b/internal/peer/front/share.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"sync"
 	"time"
 
 	"redwinglock/internal/pool/shard"
@@ -15,39 +16,40 @@
 	rememberHosts = 10 * time.Second
 )
 
-// attach notes that a front is served by this arbiter and adapts the part of the pool that
-// the arbiter may use: that of the fronts which it serves among all hosts. While all are
-// served by one arbiter, it uses the whole pool; hosts that cannot reach each other share
-// the pool without talking.
-func (w *worker) attach(now time.Time, s *Session) {
-	w.attached[s] = now
-	if !w.shard.Discovered() {
-		return
-	}
-	share := w.shareOf(now, s.server.board.Members())
-	if share == w.share {
-		return
-	}
-	w.share = share
-	w.carryOut(w.shard.SetShare(now, share))
+// attachments are the fronts that this arbiter serves. It may use the part of the pools
+// and quotas that they are of all hosts: while one arbiter serves all, it uses them whole;
+// hosts that cannot reach each other share them without talking.
+type attachments struct {
+	mu   sync.Mutex
+	last map[*Session]time.Time // When each session last registered a request.
+	// most remembers how many hosts were registered lately.
+	most recentMax
 }
 
-func (w *worker) shareOf(now time.Time, members *board.Members) shard.Share {
-	served := 0
-	for s, at := range w.attached {
+// note records that a session has registered a request and returns the share.
+func (a *attachments) note(now time.Time, s *Session, members *board.Members) shard.Share {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last[s] = now
+	for session, at := range a.last {
 		if now.Sub(at) > attachedFor {
-			delete(w.attached, s)
-			continue
+			delete(a.last, session)
 		}
-		served++
 	}
-	w.most.add(now, members.Registered)
+	a.most.add(now, members.Registered)
 	return shard.Share{
-		Slots: part(served, len(members.Live)),
-		Quota: part(served, w.most.value()),
+		Slots: part(len(a.last), len(members.Live)),
+		Quota: part(len(a.last), a.most.value()),
 	}
 }
 
+// drop forgets a session that has ended.
+func (a *attachments) drop(s *Session) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.last, s)
+}
+
 func part(served, all int) float64 {
 	if served >= all {
 		return 1
--- a/internal/peer/wire/stream.go
+++ b/internal/peer/wire/stream.go
@@ -14,6 +14,7 @@
 	LinkPath      = "/peer/v1/link"
 	HeartbeatPath = "/peer/v1/heartbeat"
 	ConfigPath    = "/peer/v1/config"
+	ItemsPath     = "/peer/v1/items"
 
 	// KeyHeader carries the key shared by all entry hosts.
 	KeyHeader = "X-Redwinglock-Peer-Key"
--- a/internal/pool/shard/bench_test.go
+++ b/internal/pool/shard/bench_test.go
@@ -23,7 +23,7 @@
 
 func benchmarkAdmission(b *testing.B, targets, waiting int) {
 	p := setup{targets: targets, slots: 8, queueLimit: 1_000_000}
-	s := New(testPool)
+	s := New(testPool, NewQuotas())
 	now := time.Unix(1000, 0)
 	s.Configure(now, p.snapshot(b), nil)
 	accounts := []object.AccountName{"big", "small-1", "small-2"}
--- a/internal/pool/shard/invariants_test.go
+++ b/internal/pool/shard/invariants_test.go
@@ -180,7 +180,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{
 			setup:    setup{targets: rapid.IntRange(1, 3).Draw(t, "targets"), slots: rapid.IntRange(1, 2).Draw(t, "slots"), queueLimit: rapid.IntRange(2, 6).Draw(t, "queue"), drained: map[int]bool{}},
-			shard:    New(testPool),
+			shard:    New(testPool, NewQuotas()),
 			now:      time.Unix(1000, 0),
 			requests: map[wire.RequestID]*known{},
 		}
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"sync"
 	"time"
 
 	"redwinglock/internal/state/object"
@@ -15,7 +16,7 @@
 	startShare = 0.1
 	// toleranceShare is the part of the tolerated excess that is used; the rest covers what
 	// a change of arbiter may grant twice.
-	toleranceShare = 0.8
+	toleranceShare = 0.7
 )
 
 // bucket is a token bucket.
@@ -60,6 +61,45 @@
 	return true
 }
 
+// Quotas counts what accounts use of their quotas in all pools of one arbiter. It is safe
+// for concurrent use.
+type Quotas struct {
+	mu   sync.Mutex
+	uses map[object.AccountName]*quotaUse
+}
+
+// NewQuotas creates quotas of which nothing is known to be used.
+func NewQuotas() *Quotas { return &Quotas{uses: map[object.AccountName]*quotaUse{}} }
+
+// take charges an account. share is this arbiter's part of the quota. If the account has
+// used it up, take returns the time after which it has enough.
+func (q *Quotas) take(now time.Time, name object.AccountName, quota *object.Quota, cost, share float64) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	use := q.uses[name]
+	if use == nil {
+		use = &quotaUse{within: bucket{quota.Burst * startShare * share, now}, beyond: bucket{0, now}}
+		q.uses[name] = use
+	}
+	use.fill(now, quota, share)
+	// A request larger than the burst passes when the bucket is full.
+	need := min(cost, quota.Burst*share)
+	if use.take(cost, need) {
+		return 0, true
+	}
+	missing := need - use.within.level
+	return time.Duration(missing / (quota.PerSecond * share) * float64(time.Second)), false
+}
+
+// refund gives back what was charged for a request that did not run.
+func (q *Quotas) refund(name object.AccountName, cost float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if use := q.uses[name]; use != nil {
+		use.within.level += cost
+	}
+}
+
 // takeQuota charges a request to its account. If the account has used up its quota, it
 // returns the time after which it has enough.
 func (s *Shard) takeQuota(now time.Time, q *request) (time.Duration, bool) {
@@ -67,26 +107,17 @@
 	if quota == nil || q.QuotaCost <= 0 {
 		return 0, true
 	}
-	use := s.quotas[q.Account]
-	if use == nil {
-		use = &quotaUse{within: bucket{quota.Burst * startShare * s.share.Quota, now}, beyond: bucket{0, now}}
-		s.quotas[q.Account] = use
-	}
-	use.fill(now, quota, s.share.Quota)
-	// A request larger than the burst passes when the bucket is full.
-	need := min(q.QuotaCost, quota.Burst*s.share.Quota)
-	if !use.take(q.QuotaCost, need) {
-		missing := need - use.within.level
-		return time.Duration(missing / (quota.PerSecond * s.share.Quota) * float64(time.Second)), false
+	wait, ok := s.quotas.take(now, q.Account, quota, q.QuotaCost, s.share.Quota)
+	if ok {
+		q.charged = q.QuotaCost
 	}
-	q.charged = q.QuotaCost
-	return 0, true
+	return wait, ok
 }
 
 // refundQuota gives back what a request was charged that did not run.
 func (s *Shard) refundQuota(q *request) {
-	if use := s.quotas[q.Account]; use != nil {
-		use.within.level += q.charged
+	if q.charged > 0 {
+		s.quotas.refund(q.Account, q.charged)
 	}
 	q.charged = 0
 }
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -30,7 +30,7 @@
 	timers   indexHeap[*request]
 	waiting  int
 
-	quotas   map[object.AccountName]*quotaUse
+	quotas   *Quotas
 	targets  map[object.TargetName]*target
 	ready    indexHeap[*target]
 	failed   []*target // Targets that wait for their next attempt.
@@ -57,12 +57,12 @@
 // WarmUp is how long a new arbiter waits for fronts to register again.
 const WarmUp = 300 * time.Millisecond
 
-// New creates the shard of a pool.
-func New(pool object.PoolName) *Shard {
+// New creates the shard of a pool. The shards of one arbiter share the quotas.
+func New(pool object.PoolName, quotas *Quotas) *Shard {
 	return &Shard{
 		pool:     pool,
 		requests: map[wire.RequestID]*request{},
-		quotas:   map[object.AccountName]*quotaUse{},
+		quotas:   quotas,
 		timers:   newIndexHeap(dueFirst),
 		ready:    newIndexHeap(leastLoaded),
 		targets:  map[object.TargetName]*target{},
--- a/internal/pool/shard/shard_test.go
+++ b/internal/pool/shard/shard_test.go
@@ -53,7 +53,7 @@
 }
 
 func newBench(t *testing.T, p setup) *bench {
-	b := &bench{t: t, shard: New(testPool), now: time.Unix(1000, 0)}
+	b := &bench{t: t, shard: New(testPool, NewQuotas()), now: time.Unix(1000, 0)}
 	b.shard.Configure(b.now, p.snapshot(t), nil)
 	return b
 }
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -46,6 +46,8 @@
 	members  atomic.Pointer[Members]
 	hosts    atomic.Pointer[Hosts]
 	stopping atomic.Bool
+	// storeRevision is how far this host has followed the platform's store.
+	storeRevision atomic.Int64
 
 	// joined is closed when the other hosts have been asked for the first time.
 	joined     chan struct{}
@@ -72,6 +74,12 @@
 // Hosts returns the latest list of hosts.
 func (b *Board) Hosts() *Hosts { return b.hosts.Load() }
 
+// StoreRevision returns how far this host has followed the platform's store.
+func (b *Board) StoreRevision() int64 { return b.storeRevision.Load() }
+
+// SetStoreRevision notes how far this host has followed the platform's store.
+func (b *Board) SetStoreRevision(revision int64) { b.storeRevision.Store(revision) }
+
 // Stopping reports whether a planned stop has begun.
 func (b *Board) Stopping() bool { return b.stopping.Load() }
 
