--- /dev/null
+++ b/internal/entry/gateway/answer.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"redwinglock/internal/state/object"
+)
+
+// answer is the answer to one caller, which may come from several targets in turn.
+type answer struct {
+	writer  gin.ResponseWriter
+	request *request
+	events  eventSplitter
+	// started is set when the header has been sent to the caller.
+	started bool
+	// mayHaveRun is set when a target may have run the request without a whole answer.
+	mayHaveRun bool
+}
+
+// measure is what was seen of one answer.
+type measure struct {
+	events      int
+	first, last time.Time
+}
+
+// copy passes an answer on as it comes. It returns an error if the answer ended early.
+func (a *answer) copy(response *http.Response) (measure, error) {
+	stream := a.request.route.Execution == object.Stream && response.StatusCode == http.StatusOK
+	if !stream {
+		return measure{}, a.copyPlain(response)
+	}
+	if !a.started {
+		a.start(response)
+	}
+	// The new target sends an event again of which the one before sent only a part.
+	a.events.reset()
+	return a.copyStream(response.Body)
+}
+
+// copyPlain passes a plain answer on once it is complete, so that one that is cut can be
+// replaced. Only a large answer is passed on as it comes.
+func (a *answer) copyPlain(response *http.Response) error {
+	if a.started {
+		return errors.New("plain answer to a stream")
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxHeldBytes))
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	a.start(response)
+	if _, err := a.writer.Write(content); err != nil {
+		return fmt.Errorf("write answer: %w", err)
+	}
+	if _, err := io.Copy(a.writer, response.Body); err != nil {
+		return fmt.Errorf("copy answer: %w", err)
+	}
+	return nil
+}
+
+// maxHeldBytes bounds the part of a plain answer that is held until it is complete.
+const maxHeldBytes = 64 << 10
+
+// copyStream passes events on as they come.
+func (a *answer) copyStream(body io.Reader) (measure, error) {
+	var m measure
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if writeErr := a.write(buffer[:n], &m); writeErr != nil {
+				return m, writeErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return m, a.end()
+		}
+		if err != nil {
+			return m, fmt.Errorf("read events: %w", err)
+		}
+	}
+}
+
+const copyBufferBytes = 16 << 10
+
+func (a *answer) start(response *http.Response) {
+	header := a.writer.Header()
+	closing := header.Get("Connection")
+	for name, values := range forwardedHeader(response.Header) {
+		header[name] = values
+	}
+	if closing != "" {
+		header.Set("Connection", closing)
+	}
+	a.started = true
+	a.writer.WriteHeader(response.StatusCode)
+	a.writer.WriteHeaderNow()
+}
+
+// write passes the events on that are whole by now.
+func (a *answer) write(content []byte, m *measure) error {
+	whole := a.events.add(content)
+	if len(whole) == 0 {
+		return nil
+	}
+	if m.events == 0 {
+		m.first = time.Now()
+	}
+	m.events++
+	m.last = time.Now()
+	if _, err := a.writer.Write(whole); err != nil {
+		return fmt.Errorf("write events: %w", err)
+	}
+	a.writer.Flush()
+	return nil
+}
+
+// end passes on what remains after the last event of a complete stream.
+func (a *answer) end() error {
+	if len(a.events.rest) == 0 {
+		return nil
+	}
+	if _, err := a.writer.Write(a.events.rest); err != nil {
+		return fmt.Errorf("write events: %w", err)
+	}
+	return nil
+}
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -301,93 +300,3 @@
 	}
 	return forwarded
 }
-
-// answer is the answer to one caller, which may come from several targets in turn.
-type answer struct {
-	writer  gin.ResponseWriter
-	request *request
-	events  eventSplitter
-	// started is set when the header has been sent to the caller.
-	started bool
-	// mayHaveRun is set when a target may have run the request without a whole answer.
-	mayHaveRun bool
-}
-
-// measure is what was seen of one answer.
-type measure struct {
-	events      int
-	first, last time.Time
-}
-
-// copy passes an answer on as it comes. It returns an error if the answer ended early.
-func (a *answer) copy(response *http.Response) (measure, error) {
-	if !a.started {
-		a.start(response)
-	}
-	// The new target sends an event again of which the one before sent only a part.
-	a.events.reset()
-	stream := a.request.route.Execution == object.Stream && response.StatusCode == http.StatusOK
-	var m measure
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := response.Body.Read(buffer)
-		if n > 0 {
-			if writeErr := a.write(buffer[:n], stream, &m); writeErr != nil {
-				return m, writeErr
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return m, a.end(stream)
-		}
-		if err != nil {
-			return m, err
-		}
-	}
-}
-
-const copyBufferBytes = 16 << 10
-
-func (a *answer) start(response *http.Response) {
-	header := a.writer.Header()
-	closing := header.Get("Connection")
-	for name, values := range forwardedHeader(response.Header) {
-		header[name] = values
-	}
-	if closing != "" {
-		header.Set("Connection", closing)
-	}
-	a.started = true
-	a.writer.WriteHeader(response.StatusCode)
-	a.writer.WriteHeaderNow()
-}
-
-// write passes bytes on; those of a stream in whole events, at once.
-func (a *answer) write(content []byte, stream bool, m *measure) error {
-	if !stream {
-		_, err := a.writer.Write(content)
-		return err
-	}
-	whole := a.events.add(content)
-	if len(whole) == 0 {
-		return nil
-	}
-	if m.events == 0 {
-		m.first = time.Now()
-	}
-	m.events++
-	m.last = time.Now()
-	if _, err := a.writer.Write(whole); err != nil {
-		return err
-	}
-	a.writer.Flush()
-	return nil
-}
-
-// end passes on what remains after the last event of a complete stream.
-func (a *answer) end(stream bool) error {
-	if !stream || len(a.events.rest) == 0 {
-		return nil
-	}
-	_, err := a.writer.Write(a.events.rest)
-	return err
-}
