Let no request wait for the link to an arbiter

Cause: after the loss of the arbiter's host requests waited for the dial of its link, twice (0.7 s each in the trace of a node_kill with power loss).

--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -118,15 +118,41 @@
 func (c *Client) linkFor(pool object.PoolName) link {
 	members := c.board.Members()
 	var zones map[object.Zone]bool
-	duty := pool
 	if config := c.board.Config(); config != nil && config.Pool(pool) != nil {
 		view := config.Pool(pool)
 		zones = view.Zones
 		if view.Discovered {
-			duty = sharedDuty
+			return c.sharedLink(members, zones)
 		}
 	}
-	owner := members.Owner(duty, zones, c.usable)
+	return c.linkTo(members, members.Owner(pool, zones, c.usable))
+}
+
+// sharedLink returns the link to the arbiter of the pools with discovered targets. Until a
+// link to that arbiter is open, the best one with an open link is used, in the end this
+// host itself: such pools are shared by arbiters that do not know of each other, so no
+// request has to wait for a connection.
+func (c *Client) sharedLink(members *board.Members, zones map[object.Zone]bool) link {
+	l := c.linkTo(members, members.Owner(sharedDuty, zones, c.usable))
+	if l.ready() {
+		return l
+	}
+	return c.linkTo(members, members.Owner(sharedDuty, zones, c.connected))
+}
+
+// connected reports whether a link to the member is open. That to this host always is.
+func (c *Client) connected(m board.Member) bool {
+	if m.Name == c.board.Members().Self.Name {
+		return true
+	}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	l := c.links[m.PeerURL]
+	return l != nil && l.ready()
+}
+
+// linkTo returns the link to a member, and opens one if there is none.
+func (c *Client) linkTo(members *board.Members, owner board.Member) link {
 	if owner.Name == members.Self.Name {
 		owner.PeerURL = ""
 	}
--- a/internal/peer/arbiter/link.go
+++ b/internal/peer/arbiter/link.go
@@ -18,6 +18,8 @@
 type link interface {
 	send(wire.Up)
 	failed() bool
+	// ready reports whether the arbiter has answered and the link has not failed.
+	ready() bool
 	close()
 }
 
@@ -60,6 +62,7 @@
 }
 
 func (l *memoryLink) failed() bool { return l.closed.Load() }
+func (l *memoryLink) ready() bool  { return !l.closed.Load() }
 
 func (l *memoryLink) close() {
 	l.closed.Store(true)
@@ -72,6 +75,8 @@
 	owner  board.Member
 	box    *wire.Outbox[wire.Up]
 	broken atomic.Bool
+	// open is set when the arbiter has answered.
+	open   atomic.Bool
 	cancel context.CancelFunc
 	// used is when the last message was sent, in nanoseconds since 1970.
 	used atomic.Int64
@@ -108,6 +113,7 @@
 }
 
 func (l *remoteLink) failed() bool { return l.broken.Load() }
+func (l *remoteLink) ready() bool  { return l.open.Load() && !l.broken.Load() }
 func (l *remoteLink) close()       { l.cancel() }
 
 func (l *remoteLink) usedAt() time.Time { return time.Unix(0, l.used.Load()) }
@@ -152,6 +158,8 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("open link: status %d", response.StatusCode)
 	}
+	l.open.Store(true)
+	l.client.moveAll()
 	return wire.ReadLoop(response.Body, peers.LinkTimeout, cancel, func(message wire.Down) {
 		l.client.receive(l, message)
 	})
--- a/internal/peer/arbiter/link_test.go
+++ b/internal/peer/arbiter/link_test.go
@@ -17,6 +17,7 @@
 	"redwinglock/internal/standin/forward"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
 )
 
 // TestSilentLinkLosesNoWaitingRequest makes the connection to the arbiter go silent while
@@ -75,3 +76,46 @@
 	require.False(t, l.failed())
 	third.Finish(wire.Finish{})
 }
+
+// TestUnreachableArbiterDelaysNoRequest lets the arbiter of a shared pool accept connections
+// and never answer. The front decides by itself at once, and uses the arbiter when it answers.
+func TestUnreachableArbiterDelaysNoRequest(t *testing.T) {
+	gin.SetMode(gin.ReleaseMode)
+	silent := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-silent }))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols = protocols
+	server.Start()
+	defer server.Close()
+	defer close(silent)
+
+	snapshot, err := object.Compile(1, "", []object.Object{
+		&object.Tier{Name: "urgent", Priority: 1},
+		&object.Account{Name: "a", Tiers: []object.TierName{"urgent"}, KeyHashes: []string{object.HashKey("k")}},
+		&object.Pool{Name: "shared", Type: object.EnginePool, Discovered: true, FixedSlots: true, RunToEnd: true},
+	})
+	require.NoError(t, err)
+	self := board.Member{Name: "entry-2", Run: "run-2", Leaving: true}
+	b := board.New(self)
+	b.SetConfig(snapshot.WithTargets(1, []*object.Target{{Name: "t-1", Pool: "shared", Zone: "a", Address: "http://t", Slots: 4}}))
+	other := board.Member{Name: "entry-1", PeerURL: server.URL}
+	b.SetMembers(&board.Members{Self: self, Live: []board.Member{other, self}, Registered: 2})
+	c := common.Discard()
+	c.Settings.Peers.LinkTimeout = time.Minute
+	local := front.New(c, b)
+	client := New(c, b, local, http2.New(c.Settings.Peers.LinkTimeout, nil))
+	defer func() {
+		require.NoError(t, client.Close())
+		require.NoError(t, local.Close())
+	}()
+	ticket := client.Register(wire.Register{ID: "1", Pool: "shared", Account: "a", Tier: "urgent", PromptTokens: 1})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	name, err := client.Wait(ctx, ticket)
+	require.NoError(t, err)
+	require.Equal(t, object.TargetName("t-1"), name)
+	_, isLocal := ticket.currentLink().(*memoryLink)
+	require.True(t, isLocal)
+	ticket.Finish(wire.Finish{})
+}
--- a/internal/peer/arbiter/ticket_test.go
+++ b/internal/peer/arbiter/ticket_test.go
@@ -32,6 +32,7 @@
 	l.sent = append(l.sent, m)
 }
 func (l *fakeLink) failed() bool { return l.down }
+func (l *fakeLink) ready() bool  { return true }
 func (l *fakeLink) close()       {}
 
 // last returns the latest message.
