--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -133,7 +133,11 @@
 	return metrics{Scope: scope, Handler: reporter.HTTPHandler()}
 }
 
-func newCommon(s *settings.Settings, scope tally.Scope) *common.Common { return common.New(s, scope) }
+func newCommon(lc fx.Lifecycle, s *settings.Settings, scope tally.Scope) *common.Common {
+	c := common.New(s, scope)
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
 
 func newBoard(s *settings.Settings) *board.Board {
 	callerURL := s.Callers.Advertise
--- a/internal/state/common/common.go
+++ b/internal/state/common/common.go
@@ -4,7 +4,9 @@
 
 import (
 	"io"
+	"log"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,12 +21,15 @@
 	Settings *settings.Settings
 	Metrics  tally.Scope
 	logger   *logrus.Logger
+	output   *output
 }
 
-// New creates a Common that logs to standard error as the settings say.
+// New creates a Common that logs to standard output as the settings say. It must be closed
+// last, so that the last lines are written.
 func New(s *settings.Settings, metrics tally.Scope) *Common {
 	logger := logrus.New()
-	logger.SetOutput(os.Stderr)
+	lines := newOutput(os.Stdout, func(n int64) { metrics.Counter("log_lines_dropped").Inc(n) })
+	logger.SetOutput(lines)
 	level, err := logrus.ParseLevel(s.Log.Level)
 	if err != nil {
 		level = logrus.InfoLevel
@@ -35,9 +40,28 @@
 	} else {
 		logger.SetFormatter(&prefixFormatter{&logrus.TextFormatter{DisableColors: true, FullTimestamp: true}})
 	}
-	return &Common{Settings: s, Metrics: metrics, logger: logger}
+	// Libraries report odd answers of targets here.
+	log.SetFlags(0)
+	log.SetOutput(&libraryLog{logger.WithField(partField, "library")})
+	return &Common{Settings: s, Metrics: metrics, logger: logger, output: lines}
 }
 
+// libraryLog turns what libraries print into log lines of this program.
+type libraryLog struct{ entry *logrus.Entry }
+
+// maxLibraryLine bounds a line of a library, which may quote what a target has sent.
+const maxLibraryLine = 120
+
+// Write implements io.Writer.
+func (l *libraryLog) Write(text []byte) (int, error) {
+	line := strings.TrimSpace(string(text))
+	l.entry.Info(line[:min(len(line), maxLibraryLine)])
+	return len(text), nil
+}
+
+// Close writes the last log lines.
+func (c *Common) Close() error { return c.output.Close() }
+
 // Discard returns a Common for tests: default settings, no log, no metrics.
 func Discard() *Common {
 	logger := logrus.New()
