--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"redwinglock/internal/fleet/passthrough"
 	"redwinglock/internal/peer/wire"
@@ -141,9 +143,19 @@
 	return outcome.Lost(outcome.Unknown, outcome.TargetLost, "the target was lost and no other took the request: %v", err)
 }
 
+// registrationID names one registration. The first has the id of the request, so that the
+// logs of front and arbiter can be put together.
+func (r *request) registrationID() wire.RequestID {
+	r.attempts++
+	if r.attempts == 1 {
+		return r.id
+	}
+	return wire.RequestID(fmt.Sprintf("%s.%d", r.id, r.attempts))
+}
+
 func (s *Server) registration(r *request) wire.Register {
 	w := wire.Register{
-		ID:           s.newID(),
+		ID:           r.registrationID(),
 		Pool:         r.pool,
 		Tier:         r.tier(),
 		Class:        r.route.Tier,
@@ -274,10 +286,33 @@
 	if err != nil {
 		return finish, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s: %v", target.Name, err)
 	}
-	r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode, "first-ms": finish.FirstTokenMS, "age": time.Since(r.arrived).String()}).Debug("Request answered.")
+	s.logAnswer(r, target, response.StatusCode, sentAt, finish)
 	return finish, nil
 }
 
+// logAnswer writes one line about an answered request.
+func (s *Server) logAnswer(r *request, target *object.Target, status int, sentAt time.Time, f wire.Finish) {
+	now := time.Now()
+	s.latency(r, "request_time").Record(now.Sub(r.arrived))
+	s.latency(r, "queue_delay").Record(sentAt.Sub(r.arrived))
+	if f.FirstTokenMS > 0 {
+		s.latency(r, "first_token").Record(time.Duration(f.FirstTokenMS) * time.Millisecond)
+		s.latency(r, "between_tokens").Record(time.Duration(f.DecodeUS) * time.Microsecond)
+	}
+	if !s.routine.allow(now) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"route": r.route.Name, "tier": r.tier(), "target": target.Name, "status": status, "attempts": r.attempts,
+		"waited-ms": sentAt.Sub(r.arrived).Milliseconds(), "first-ms": f.FirstTokenMS, "total-ms": now.Sub(r.arrived).Milliseconds(),
+		"config-revision": r.snapshot.Revision, "target-revision": r.snapshot.TargetRevision,
+	}).Info("Request answered.")
+}
+
+func (s *Server) latency(r *request, name string) tally.Timer {
+	return s.common.Metrics.Tagged(map[string]string{"tier": string(r.tier()), "pool": string(r.pool)}).Timer(name)
+}
+
 // repeatsError reports whether an error that the target answered is worth another attempt.
 func (s *Server) repeatsError(r *request, a *answer) bool {
 	return r.route.Repeatable() && !a.started && len(r.tried)+1 < r.route.MaxAttempts && time.Until(r.deadline) > minLeft && s.repeats.left(r.pool, time.Now())
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -41,6 +41,7 @@
 	targets  *passthrough.Client
 	dialect  Dialect
 	repeats  *repeatBudget
+	routine  routineLimit
 	patience *patience
 
 	run    wire.HostID
@@ -98,6 +99,8 @@
 	// deadline is when the caller or the route wants the final answer.
 	deadline time.Time
 	body     []byte
+	// attempts counts the registrations of the request.
+	attempts int
 	// tried are the targets that have got the request and may have run it, or refused it.
 	tried []object.TargetName
 	log   *logrus.Entry
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -305,6 +305,7 @@
 		case shard.Grant:
 			w.send(d.ID, wire.Down{Grant: &wire.Grant{Attempt: w.sessions[d.ID].attempt, ID: d.ID, Target: d.Target}})
 		case shard.Refuse:
+			w.logRefusal(d)
 			w.send(d.ID, wire.Down{Refuse: &wire.Refuse{Attempt: w.sessions[d.ID].attempt, ID: d.ID, Reason: d.Reason, RetryAfterMS: d.RetryAfter.Milliseconds()}})
 			delete(w.sessions, d.ID)
 		case shard.Cancel:
@@ -313,6 +314,19 @@
 	}
 }
 
+// logRefusal writes what the decision rested on.
+func (w *worker) logRefusal(d shard.Refuse) {
+	if w.sessions[d.ID].session == nil {
+		return
+	}
+	sum := w.shard.Summary()
+	w.sessions[d.ID].session.server.log.WithFields(logrus.Fields{
+		"request": d.ID, "tier": d.Tier, "reason": d.Reason, "retry-after": d.RetryAfter.String(),
+		"waited-ms": d.Waited.Milliseconds(), "late": d.Late, "ready": sum.Ready, "failed": sum.Failed, "slots": sum.Slots,
+		"slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota, "waiting": sum.Waiting, "running": sum.Running,
+	}).Info("Request refused.")
+}
+
 func (w *worker) send(id wire.RequestID, message wire.Down) {
 	if s := w.sessions[id].session; s != nil {
 		s.box.Send(message)
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -27,6 +27,10 @@
 	Tier       object.TierName
 	Reason     outcome.Reason
 	RetryAfter time.Duration
+	// Waited is how long the request was queued, and Late tells whether it was out of time
+	// for its objective.
+	Waited time.Duration
+	Late   bool
 }
 
 // Cancel stops a running request so that a higher tier gets its slot.
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -178,7 +178,7 @@
 	s.requests[q.ID] = q
 	if wait, ok := s.takeQuota(now, q); !ok {
 		s.forget(q)
-		s.decisions = append(s.decisions, Refuse{q.ID, q.tier.name, outcome.AccountLimit, spread(q.ID, max(wait, minRetryAfter))})
+		s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Reason: outcome.AccountLimit, RetryAfter: spread(q.ID, max(wait, minRetryAfter))})
 		return
 	}
 	s.enqueue(q)
@@ -409,7 +409,7 @@
 	s.dequeue(q)
 	s.refundQuota(q)
 	s.forget(q)
-	s.decisions = append(s.decisions, Refuse{q.ID, q.tier.name, reason, retryAfter})
+	s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Reason: reason, RetryAfter: retryAfter, Waited: now.Sub(q.queuedAt), Late: q.tier.late})
 }
 
 func (s *Shard) forget(q *request) {
--- a/main.go
+++ b/main.go
@@ -38,6 +38,11 @@
 	Key string `arg:"positional,required" help:"key of an account or operator"`
 }
 
+type explainCommand struct {
+	ID    string   `arg:"positional,required" help:"id of a request, of the caller or of a host"`
+	Files []string `arg:"positional,required" help:"logs of hosts"`
+}
+
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an entry host"`
 	Check   *pathCommand    `arg:"subcommand:check" help:"check objects without a host"`
@@ -48,6 +53,7 @@
 	Drain   *targetsCommand `arg:"subcommand:drain" help:"send no new work to targets"`
 	Undrain *targetsCommand `arg:"subcommand:undrain" help:"send work to targets again"`
 	Status  *struct{}       `arg:"subcommand:status" help:"print the state of a host"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"print what the logs of hosts tell of one request"`
 	HashKey *hashKeyCommand `arg:"subcommand:hash-key" help:"print the digest under which a key is stored"`
 	Version *struct{}       `arg:"subcommand:version" help:"print the version"`
 
@@ -97,6 +103,8 @@
 		return commands.Drain(ctx, args.Undrain.Targets, false)
 	case args.Status != nil:
 		return commands.Status(ctx)
+	case args.Explain != nil:
+		return command.Explain(args.Explain.ID, args.Explain.Files, os.Stdout)
 	case args.HashKey != nil:
 		fmt.Println(object.HashKey(args.HashKey.Key))
 	case args.Version != nil:
