--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -4,7 +4,6 @@
 package discovery
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -59,22 +58,24 @@
 	translator Translator
 
 	peers *http2.Client
-	// hint is the URL of a peer that knows more, empty if none does.
-	hint chan string
+	// hint receives a peer that knows more.
+	hint chan peerHint
 
 	mu sync.Mutex
 	// revision is how far the store has been followed, here or by a peer that told of it.
 	revision int64
-	// answeredAt is when the store last answered.
-	answeredAt time.Time
-	// raw is the content of each known key, to tell real changes from repeated ones.
-	raw     map[string][]byte
-	base    *object.Snapshot // Without discovered targets.
-	targets map[string]*object.Target
-	hosts   map[string]board.Member
+	// confirmedAt is when the store last told, here or through peers, that nothing newer
+	// was known.
+	confirmedAt time.Time
+	known       *known
+	base        *object.Snapshot // Without discovered targets.
+	targets     map[string]*object.Target
+	hosts       map[string]board.Member
 	// vanished are entries of targets that are taken for gone at the given time.
 	vanished       map[string]time.Time
 	targetRevision object.Revision
+	// mustList is set when the history from which to go on is gone.
+	mustList bool
 	// troubleAt is when the store last failed a call.
 	troubleAt time.Time
 
@@ -92,8 +93,8 @@
 		tree:       tree,
 		translator: translator,
 		peers:      peers,
-		hint:       make(chan string, 1),
-		raw:        map[string][]byte{},
+		hint:       make(chan peerHint, 1),
+		known:      newKnown(),
 		targets:    map[string]*object.Target{},
 		hosts:      map[string]board.Member{},
 		vanished:   map[string]time.Time{},
@@ -117,20 +118,23 @@
 	retry := minRetry
 	available := true
 	for ctx.Err() == nil {
+		if available {
+			d.awaitNeed(ctx)
+		}
 		err := d.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
 			if !available {
-				d.log.WithField("store-revision", d.board.StoreRevision()).Info("Store regained.")
+				d.log.WithField("store-revision", d.followed()).Info("Store regained.")
 			}
 			available = true
 			retry = minRetry
 			continue
 		}
 		if errors.Is(err, store.ErrCompacted) {
-			d.log.WithField("store-revision", d.board.StoreRevision()).Warn("History is gone, the store is listed again.")
+			d.log.WithField("store-revision", d.followed()).Warn("History is gone, the store is listed again.")
 			d.compacted()
 			continue
 		}
@@ -148,7 +152,7 @@
 // step makes one call and takes what it brings.
 func (d *Controller) step(ctx context.Context) error {
 	revision := d.followed()
-	if revision == 0 {
+	if revision == 0 || d.takeMustList() {
 		items, listed, err := d.tree.List(ctx, "")
 		if err != nil {
 			return err
@@ -177,16 +181,29 @@
 // setRevision needs the lock.
 func (d *Controller) setRevision(revision int64) {
 	d.revision = revision
-	if revision > 0 {
-		d.board.SetStoreRevision(revision)
-	}
+	d.board.SetStoreState(board.StoreState{Revision: revision, ConfirmedAt: d.confirmedAt})
+}
+
+// setConfirmed needs the lock.
+func (d *Controller) setConfirmed(at time.Time) {
+	d.confirmedAt = at
+	d.board.SetStoreState(board.StoreState{Revision: d.revision, ConfirmedAt: at})
+}
+
+// takeMustList reports whether the store must be listed again, once.
+func (d *Controller) takeMustList() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	must := d.mustList
+	d.mustList = false
+	return must
 }
 
 // compacted makes the next call a list.
 func (d *Controller) compacted() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.setRevision(0)
+	d.mustList = true
 	d.troubleAt = time.Now()
 }
 
@@ -207,7 +224,10 @@
 func (d *Controller) replace(items []store.Item, revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.answeredAt = time.Now()
+	if revision < d.revision {
+		return // A peer has told of newer changes meanwhile.
+	}
+	d.setConfirmed(time.Now())
 	d.setRevision(revision)
 	d.takeAll(items)
 }
@@ -220,9 +240,9 @@
 		listed[i.Key] = true
 		changed = d.take(i) || changed
 	}
-	for key := range d.raw {
+	for key := range d.known.items {
 		if !listed[key] {
-			changed = d.take(store.Item{Key: key, Deleted: true}) || changed
+			changed = d.take(store.Item{Key: key, Revision: d.revision, Deleted: true}) || changed
 		}
 	}
 	if changed {
@@ -234,11 +254,16 @@
 func (d *Controller) apply(items []store.Item, after, next int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.answeredAt = time.Now()
 	if d.revision != after {
 		return
 	}
+	d.setConfirmed(time.Now())
 	d.setRevision(next)
+	d.takeChanges(items)
+}
+
+// takeChanges needs the lock.
+func (d *Controller) takeChanges(items []store.Item) {
 	changed := false
 	for _, i := range items {
 		changed = d.take(i) || changed
@@ -250,6 +275,9 @@
 
 // take files one item and reports whether the board must change.
 func (d *Controller) take(i store.Item) bool {
+	if i.Revision < d.known.revision(i.Key) {
+		return false
+	}
 	switch {
 	case i.Key == d.translator.ConfigKey():
 		return !i.Deleted && d.takeConfig(i)
@@ -263,10 +291,9 @@
 
 // takeConfig puts a configuration in force if it is newer and valid as a whole.
 func (d *Controller) takeConfig(i store.Item) bool {
-	if bytes.Equal(d.raw[i.Key], i.Data) {
+	if !d.known.put(i) {
 		return false
 	}
-	d.raw[i.Key] = i.Data
 	revision, objects, err := d.translator.Config(i.Data)
 	var snapshot *object.Snapshot
 	if err == nil {
@@ -289,13 +316,12 @@
 
 func (d *Controller) takeTarget(i store.Item) bool {
 	if i.Deleted {
-		return d.loseTarget(i.Key)
+		return d.loseTarget(i)
 	}
 	delete(d.vanished, i.Key)
-	if bytes.Equal(d.raw[i.Key], i.Data) {
+	if !d.known.put(i) {
 		return false
 	}
-	d.raw[i.Key] = i.Data
 	t, err := d.translator.Target(i.Key, i.Data)
 	if err == nil {
 		err = object.CheckTarget(t)
@@ -317,9 +343,10 @@
 
 // loseTarget handles the end of an entry. Around an outage of the store entries expire
 // though their owners live; they are given time to come back.
-func (d *Controller) loseTarget(key string) bool {
+func (d *Controller) loseTarget(i store.Item) bool {
+	key := i.Key
+	d.known.remove(key, i.Revision)
 	if d.targets[key] == nil {
-		delete(d.raw, key)
 		return false
 	}
 	if since := time.Since(d.troubleAt); since < lapseGrace {
@@ -333,7 +360,6 @@
 
 func (d *Controller) dropTarget(key, cause string) {
 	d.log.WithFields(logrus.Fields{"target": d.targets[key].Name, "cause": cause}).Info("Target gone.")
-	delete(d.raw, key)
 	delete(d.targets, key)
 	delete(d.vanished, key)
 }
@@ -363,7 +389,7 @@
 
 func (d *Controller) takeHost(i store.Item) {
 	if i.Deleted {
-		delete(d.raw, i.Key)
+		d.known.remove(i.Key, i.Revision)
 		delete(d.hosts, i.Key)
 		return
 	}
@@ -372,7 +398,7 @@
 		d.log.WithError(err).WithField("key", i.Key).Warn("Entry of a host skipped.")
 		return
 	}
-	d.raw[i.Key] = i.Data
+	d.known.put(i)
 	d.hosts[i.Key] = m
 }
 
--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinglock/internal/control/member"
 	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/board"
@@ -27,6 +29,7 @@
 	history  []store.Item
 	err      error
 	lists    int
+	follows  int
 	leases   map[store.LeaseID]bool
 	changed  chan struct{}
 }
@@ -81,6 +84,9 @@
 }
 
 func (f *fakeTree) Follow(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Item, int64, error) {
+	f.mu.Lock()
+	f.follows++
+	f.mu.Unlock()
 	timeout := time.After(wait)
 	for {
 		f.mu.Lock()
@@ -316,8 +322,8 @@
 				f.tree.fail(errors.New("cut off"))
 				settle()
 				f.d.takePeer(Items{Revision: row.revision, Items: []store.Item{
-					{Key: "config", Data: []byte("8")},
-					{Key: "targets/i-1", Data: []byte(readyTarget)},
+					{Key: "config", Data: []byte("8"), Revision: row.revision},
+					{Key: "targets/i-1", Data: []byte(readyTarget), Revision: row.revision},
 				}}, "http://peer")
 				require.Equal(t, row.want, f.revision())
 			})
@@ -325,12 +331,50 @@
 	}
 }
 
+// TestTargetThatAPeerLostInAnOutageIsKept passes the outage of a peer on with its news.
+func TestTargetThatAPeerLostInAnOutageIsKept(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		revision := f.d.followed() + 50
+		f.d.takePeer(Items{
+			Revision: revision, Partial: true, TroubleAgeMS: 500,
+			Items: []store.Item{{Key: "targets/i-1", Revision: revision, Deleted: true}},
+		}, "http://peer")
+		require.Equal(t, []object.TargetName{"i-1"}, f.targets())
+		time.Sleep(lapseGrace + settleTime)
+		require.Empty(t, f.targets())
+	})
+}
+
+// TestHostThatDoesNotWatchAsksNobodyWhilePeersConfirm counts the calls of a host that is not
+// among the watching ones.
+func TestHostThatDoesNotWatchAsksNobodyWhilePeersConfirm(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		self := f.board.Members().Self
+		members := &board.Members{Self: self, Live: []board.Member{self}}
+		for i := range 500 {
+			members.Live = append(members.Live, board.Member{Name: fmt.Sprint("peer-", i)})
+		}
+		f.board.SetMembers(members)
+		require.False(t, f.d.watches())
+		time.Sleep(watchWait + time.Second) // The watch that is under way ends.
+		before := f.tree.follows
+		for range 30 {
+			f.d.Nudge(member.Knowledge{Store: f.d.followed(), StoreAge: time.Second}, "http://peer")
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, before, f.tree.follows)
+		time.Sleep(maxAge + time.Second)
+		synctest.Wait()
+		require.Greater(t, f.tree.follows, before, "nobody confirms any more")
+	})
+}
+
 // TestChangesBeforeThoseOfAPeerAreIgnored lets a watch answer late, after a peer has told
 // of newer changes.
 func TestChangesBeforeThoseOfAPeerAreIgnored(t *testing.T) {
 	play(t, func(t *testing.T, f *fixture) {
 		before := f.d.followed()
-		f.d.takePeer(Items{Revision: before + 50, Items: []store.Item{{Key: "config", Data: []byte("1")}}}, "http://peer")
+		f.d.takePeer(Items{Revision: before + 50, Items: []store.Item{{Key: "config", Data: []byte("1"), Revision: before}}}, "http://peer")
 		time.Sleep(lapseGrace + settleTime)
 		require.Empty(t, f.targets())
 		f.d.apply([]store.Item{{Key: "targets/i-1", Data: []byte(readyTarget), Revision: before + 1}}, before, before+1)
@@ -340,9 +384,18 @@
 
 func TestItemsAreWhatAPeerNeeds(t *testing.T) {
 	play(t, func(t *testing.T, f *fixture) {
-		known := f.d.Items()
-		require.Equal(t, f.board.StoreRevision(), known.Revision)
-		require.Len(t, known.Items, 2)
+		all := f.d.Items("")
+		require.Equal(t, f.board.Store().Revision, all.Revision)
+		require.False(t, all.Partial)
+		require.Len(t, all.Items, 2)
+		before := strconv.FormatInt(all.Revision, 10)
+		f.tree.set("targets/i-2", readyTarget)
+		f.tree.remove("targets/i-1")
+		settle()
+		synctest.Wait()
+		changes := f.d.Items(before)
+		require.True(t, changes.Partial)
+		require.Len(t, changes.Items, 2)
 	})
 }
 
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -6,84 +6,138 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"redwinglock/internal/control/member"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/platform/store"
 )
 
 const (
-	// peerPatience is how long the store may be silent before peers are believed that know
-	// more of it. A watch answers at least every watchWait.
+	// watchers is the number of hosts that watch the store; the others hear from them.
+	watchers = 8
+	// watchDuty is the duty by which the watching hosts are chosen.
+	watchDuty = "store-watch"
+	// maxAge is the age of its knowledge at which a host that does not watch asks the store
+	// itself. A watch confirms what its host knows every watchWait.
+	maxAge = watchWait + time.Second
+	// peerPatience is how long a watching host waits for news from the store itself before
+	// it takes them from a peer.
 	peerPatience = 300 * time.Millisecond
 	// peerTimeout bounds the read from a peer.
 	peerTimeout = 500 * time.Millisecond
 	// maxItemsBytes bounds what a peer may send.
 	maxItemsBytes = 32 << 20
+	// sinceParameter names the revision from which a peer goes on.
+	sinceParameter = "since"
 )
 
 // Items is what a host knows from the store.
 type Items struct {
 	// Revision is how far the host has followed the store.
-	Revision int64        `json:"revision"`
-	Items    []store.Item `json:"items"`
+	Revision int64 `json:"revision"`
+	// Partial items are only those that have changed since the revision that was asked for.
+	Partial bool `json:"partial"`
+	// TroubleAgeMS is how long ago the store failed a call of this host, 0 if it never did.
+	// Targets that vanish around that time may come back.
+	TroubleAgeMS int64        `json:"trouble-age-ms,omitempty"`
+	Items        []store.Item `json:"items"`
 }
 
-// Items returns what this host knows, for a peer that cannot reach the store.
-func (d *Controller) Items() Items {
+// Items returns what this host knows beyond a revision, as the text of a parameter.
+func (d *Controller) Items(since string) Items {
+	revision, err := strconv.ParseInt(since, 10, 64)
+	if err != nil {
+		revision = 0 // The peer gets everything.
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := Items{Revision: d.revision, Items: make([]store.Item, 0, len(d.raw))}
-	for key, data := range d.raw {
-		known.Items = append(known.Items, store.Item{Key: key, Data: data})
+	changes, partial := d.known.since(revision)
+	items := Items{Revision: d.revision, Partial: partial, Items: changes}
+	if !d.troubleAt.IsZero() {
+		items.TroubleAgeMS = max(time.Since(d.troubleAt).Milliseconds(), 1)
 	}
-	return known
+	return items
 }
 
-// Nudge implements member.Nudger: a peer that knows more is read if the store does not
-// bring the news by itself.
-func (d *Controller) Nudge(known member.Knowledge, peerURL string) {
-	if known.Store <= d.board.StoreRevision() {
+// Nudge implements member.Nudger: it is told what a peer knows, and a peer that knows more
+// is read.
+func (d *Controller) Nudge(k member.Knowledge, peerURL string) {
+	d.mu.Lock()
+	behind := k.Store > d.revision
+	if confirmed := time.Now().Add(-k.StoreAge); k.Store == d.revision && k.Store > 0 && confirmed.After(d.confirmedAt) {
+		d.setConfirmed(confirmed)
+	}
+	d.mu.Unlock()
+	if !behind {
 		return
 	}
 	select {
-	case d.hint <- peerURL:
+	case d.hint <- peerHint{peerURL, k.Store}:
 	default: // Another peer is about to be read.
 	}
 }
 
+// peerHint is a peer that knows the store up to a revision.
+type peerHint struct {
+	url      string
+	revision int64
+}
+
 // readPeers reads peers that know more.
 func (d *Controller) readPeers(ctx context.Context) {
 	for {
-		var peerURL string
+		var hint peerHint
 		select {
 		case <-ctx.Done():
 			return
-		case peerURL = <-d.hint:
+		case hint = <-d.hint:
+		}
+		if d.watches() {
+			pause(ctx, peerPatience)
 		}
-		pause(ctx, peerPatience)
-		if ctx.Err() != nil || !d.storeSilent(time.Now()) {
+		if ctx.Err() != nil || d.followed() >= hint.revision {
 			continue
 		}
-		if err := d.readPeer(ctx, peerURL); err != nil {
+		if err := d.readPeer(ctx, hint.url); err != nil {
 			d.common.CountRetry("peer-read")
-			d.log.WithError(err).WithField("peer", peerURL).Info("Peer not read.")
+			d.log.WithError(err).WithField("peer", hint.url).Info("Peer not read.")
 		}
 	}
 }
 
-// storeSilent reports whether the store fails calls or leaves a watch without an answer.
-func (d *Controller) storeSilent(now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.troubleAt.After(d.answeredAt) || now.Sub(d.answeredAt) > watchWait+peerPatience
+// watches reports whether this host is one of those that watch the store.
+func (d *Controller) watches() bool {
+	return d.board.Members().Ranks(watchDuty, watchers)
+}
+
+// awaitNeed waits until this host must ask the store: it watches for all, or what it knows
+// has not been confirmed for too long.
+func (d *Controller) awaitNeed(ctx context.Context) {
+	for ctx.Err() == nil && !d.watches() {
+		d.mu.Lock()
+		left := maxAge - time.Since(d.confirmedAt)
+		d.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		changed := d.board.Changed()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(left):
+		}
+	}
 }
 
 func (d *Controller) readPeer(ctx context.Context, peerURL string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, peerURL+wire.ItemsPath, nil)
+	since := strconv.FormatInt(d.followed(), 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, peerURL+wire.ItemsPath+"?"+sinceParameter+"="+since, nil)
 	if err != nil {
 		return fmt.Errorf("read peer: %w", err)
 	}
@@ -96,22 +150,32 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("read peer: status %d", response.StatusCode)
 	}
-	var known Items
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxItemsBytes)).Decode(&known); err != nil {
+	var items Items
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxItemsBytes)).Decode(&items); err != nil {
 		return fmt.Errorf("decode items of peer: %w", err)
 	}
-	d.takePeer(known, peerURL)
+	d.takePeer(items, peerURL)
 	return nil
 }
 
 // takePeer takes what a peer knows if that is newer.
-func (d *Controller) takePeer(known Items, peerURL string) {
+func (d *Controller) takePeer(items Items, peerURL string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if known.Revision <= d.revision || known.Revision <= d.board.StoreRevision() {
+	if items.Revision <= d.revision {
 		return
 	}
-	d.log.WithFields(map[string]any{"peer": peerURL, "store-revision": known.Revision, "was": d.revision}).Info("State of the store taken from a peer.")
-	d.setRevision(known.Revision)
-	d.takeAll(known.Items)
+	d.log.WithFields(logrus.Fields{"peer": peerURL, "store-revision": items.Revision, "was": d.revision, "items": len(items.Items)}).Info("State of the store taken from a peer.")
+	d.setRevision(items.Revision)
+	if items.TroubleAgeMS > 0 {
+		trouble := time.Now().Add(-time.Duration(items.TroubleAgeMS) * time.Millisecond)
+		if trouble.After(d.troubleAt) {
+			d.troubleAt = trouble
+		}
+	}
+	if items.Partial {
+		d.takeChanges(items.Items)
+	} else {
+		d.takeAll(items.Items)
+	}
 }
--- a/internal/control/host/peers.go
+++ b/internal/control/host/peers.go
@@ -49,7 +49,7 @@
 
 // serveItems gives peers what this host knows from the platform's store.
 func serveItems(router *gin.Engine, d *discovery.Controller) http.Handler {
-	router.GET(wire.ItemsPath, func(c *gin.Context) { c.JSON(http.StatusOK, d.Items()) })
+	router.GET(wire.ItemsPath, func(c *gin.Context) { c.JSON(http.StatusOK, d.Items(c.Query("since"))) })
 	return router
 }
 
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -45,6 +45,8 @@
 	// Store is the revision up to which the host has followed the platform's store, 0 if it
 	// does not follow it.
 	Store int64
+	// StoreAge is how long ago that was confirmed to be the newest.
+	StoreAge time.Duration
 }
 
 // Controller runs the membership of this process.
@@ -112,11 +114,11 @@
 	interval := m.common.Settings.Peers.HeartbeatInterval
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	revision := m.revision()
+	told := m.news()
 	for {
 		changed := m.board.Changed()
-		if current := m.revision(); current != revision {
-			revision = current
+		if current := m.news(); current != told {
+			told = current
 			m.round(ctx)
 		}
 		select {
@@ -232,8 +234,17 @@
 	return true
 }
 
+// news is what peers are told at once when it changes.
+type news struct {
+	config object.Revision
+	store  int64
+}
+
+func (m *Controller) news() news { return news{m.revision(), m.board.Store().Revision} }
+
 func (m *Controller) knowledge() Knowledge {
-	return Knowledge{Config: m.revision(), Store: m.board.StoreRevision()}
+	state := m.board.Store()
+	return Knowledge{Config: m.revision(), Store: state.Revision, StoreAge: time.Since(state.ConfirmedAt)}
 }
 
 func (m *Controller) revision() object.Revision {
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -64,8 +64,10 @@
 	Member   *board.Member   `json:"member,omitempty"`
 	Revision object.Revision `json:"revision"`
 	// StoreRevision is how far the sender has followed the platform's store.
-	StoreRevision int64    `json:"store-revision,omitempty"`
-	Rumours       []Rumour `json:"rumours,omitempty"`
+	StoreRevision int64 `json:"store-revision,omitempty"`
+	// StoreAgeMS is how long ago that was confirmed to be the newest.
+	StoreAgeMS int64    `json:"store-age-ms,omitempty"`
+	Rumours    []Rumour `json:"rumours,omitempty"`
 	// LeavingVersion is the version of the list of leaving targets that the sender has.
 	LeavingVersion int64 `json:"leaving-version,omitempty"`
 	// Leaving is the list itself, set if the receiver is not known to have it.
@@ -73,7 +75,9 @@
 }
 
 // knowledge returns what the sender knows.
-func (h *Heartbeat) knowledge() Knowledge { return Knowledge{h.Revision, h.StoreRevision} }
+func (h *Heartbeat) knowledge() Knowledge {
+	return Knowledge{h.Revision, h.StoreRevision, time.Duration(h.StoreAgeMS) * time.Millisecond}
+}
 
 // LeavingList lists the targets that the platform is about to stop.
 type LeavingList struct {
@@ -184,7 +188,11 @@
 // the member is known to have, 0 if that is not known. If the member is not believed alive
 // it is told so, and can prove otherwise.
 func (t *Table) Compose(to string, knows uint64, known Knowledge) Heartbeat {
-	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: known.Config, StoreRevision: known.Store}
+	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: known.Config}
+	if known.Store > 0 {
+		h.StoreRevision = known.Store
+		h.StoreAgeMS = known.StoreAge.Milliseconds()
+	}
 	if t.self.Status != Alive {
 		h.Status = t.self.Status
 	}
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/object"
@@ -46,8 +47,7 @@
 	members  atomic.Pointer[Members]
 	hosts    atomic.Pointer[Hosts]
 	stopping atomic.Bool
-	// storeRevision is how far this host has followed the platform's store.
-	storeRevision atomic.Int64
+	store    atomic.Pointer[StoreState]
 
 	// joined is closed when the other hosts have been asked for the first time.
 	joined     chan struct{}
@@ -62,6 +62,7 @@
 	b := &Board{changed: make(chan struct{}), joined: make(chan struct{})}
 	b.members.Store(&Members{Self: self, Live: []Member{self}, Registered: 1})
 	b.hosts.Store(&Hosts{})
+	b.store.Store(&StoreState{})
 	return b
 }
 
@@ -74,11 +75,23 @@
 // Hosts returns the latest list of hosts.
 func (b *Board) Hosts() *Hosts { return b.hosts.Load() }
 
-// StoreRevision returns how far this host has followed the platform's store.
-func (b *Board) StoreRevision() int64 { return b.storeRevision.Load() }
+// StoreState says how far this host has followed the platform's store, itself or through
+// peers, and when that was last confirmed to be the newest.
+type StoreState struct {
+	Revision    int64
+	ConfirmedAt time.Time
+}
+
+// Store returns how far this host has followed the platform's store.
+func (b *Board) Store() StoreState { return *b.store.Load() }
 
-// SetStoreRevision notes how far this host has followed the platform's store.
-func (b *Board) SetStoreRevision(revision int64) { b.storeRevision.Store(revision) }
+// SetStoreState notes how far this host has followed the platform's store.
+func (b *Board) SetStoreState(s StoreState) {
+	before := b.store.Swap(&s)
+	if before.Revision != s.Revision {
+		b.notify()
+	}
+}
 
 // Stopping reports whether a planned stop has begun.
 func (b *Board) Stopping() bool { return b.stopping.Load() }
