--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -150,6 +150,7 @@
 		Run:       wire.HostID(s.Host + "-" + rand.Text()[:8]),
 		PeerURL:   s.Peers.Advertise,
 		CallerURL: callerURL,
+		Capacity:  s.Capacity,
 	})
 }
 
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -549,3 +550,28 @@
 func writeAnswer(w *bufio.ReadWriter, id, body string) {
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
+
+func TestWeakHostsAreNamedToFewerCallers(t *testing.T) {
+	live := []board.Member{
+		{CallerURL: "strong", Capacity: 0.8},
+		{CallerURL: "weak", Capacity: 0.2},
+		{CallerURL: "leaving", Capacity: 0.8, Leaving: true},
+	}
+	for i := range 6 {
+		live = append(live, board.Member{CallerURL: fmt.Sprint("other-", i), Capacity: 0.8})
+	}
+	named := 0
+	step := 0.0
+	for range 100 {
+		addresses := chooseAddresses(live, func() float64 { step += 0.37; return step - float64(int(step)) })
+		require.Contains(t, addresses, "strong")
+		require.NotContains(t, addresses, "leaving")
+		if slices.Contains(addresses, "weak") {
+			named++
+		}
+	}
+	require.InDelta(t, 25, named, 5)
+	few := chooseAddresses(live[:2], func() float64 { return 0.99 })
+	require.Equal(t, []string{"strong", "weak"}, few, "a caller gets some to choose from")
+	require.Len(t, chooseAddresses([]board.Member{{CallerURL: "a"}}, func() float64 { return 0.5 }), 1)
+}
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -21,6 +21,8 @@
 	// PeerURL and CallerURL are the base URLs of its listeners.
 	PeerURL   string `json:"peer-url"`
 	CallerURL string `json:"caller-url"`
+	// Capacity is the processor share of the host in cores, 0 if not known.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Leaving members finish their work and take no new one.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -154,14 +156,15 @@
 // Owner returns the member that arbitrates a pool: the one with the highest rendezvous
 // hash among those accepted by usable. Members in the zones of the pool go before all
 // others, so that a pool is arbitrated near its targets, also while regions are cut off
-// from each other. If no member qualifies, it is this host.
+// from each other, and strong hosts before weak ones. If no member qualifies, it is this host.
 func (m *Members) Owner(pool object.PoolName, zones map[object.Zone]bool, usable func(Member) bool) Member {
 	best := m.Self
 	var bestScore uint64
 	bestNear, found := false, false
+	enough := m.strongest() * strongShare
 	for _, member := range m.Live {
 		near := zones[member.Zone]
-		if member.Leaving || (bestNear && !near) || !usable(member) {
+		if member.Leaving || (bestNear && !near) || member.Capacity < enough || !usable(member) {
 			continue
 		}
 		score := rendezvous(string(pool), member.Name)
@@ -172,6 +175,18 @@
 	return best
 }
 
+// strongShare is the part of the capacity of the strongest host that makes a host strong.
+const strongShare = 0.7
+
+// strongest returns the highest capacity of a live host.
+func (m *Members) strongest() float64 {
+	highest := 0.0
+	for _, member := range m.Live {
+		highest = max(highest, member.Capacity)
+	}
+	return highest
+}
+
 // Ranks reports whether this host is among the first n members for a duty. All hosts
 // with the same view agree on who they are.
 func (m *Members) Ranks(duty string, n int) bool {
--- a/internal/state/board/board_test.go
+++ b/internal/state/board/board_test.go
@@ -105,3 +105,15 @@
 		<-changed
 	}
 }
+
+func TestOwnerIsAStrongHost(t *testing.T) {
+	m := &Members{Self: Member{Name: "weak-0", Capacity: 0.2}}
+	for i := range 5 {
+		m.Live = append(m.Live, Member{Name: fmt.Sprint("weak-", i), Capacity: 0.2}, Member{Name: fmt.Sprint("strong-", i), Capacity: 0.75})
+	}
+	m.Live = append(m.Live, Member{Name: "strongest", Capacity: 0.8})
+	for i := range 50 {
+		owner := m.Owner(object.PoolName(fmt.Sprint("pool-", i)), nil, func(Member) bool { return true })
+		require.Greater(t, owner.Capacity, 0.5)
+	}
+}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -22,14 +22,16 @@
 	// Host is the name of this entry host, unique among all.
 	Host string `yaml:"host"`
 	// Zone is the availability zone of this host.
-	Zone      object.Zone `yaml:"zone"`
-	Callers   Callers     `yaml:"callers"`
-	Peers     Peers       `yaml:"peers"`
-	Operators Operators   `yaml:"operators"`
-	Store     Store       `yaml:"store"`
-	Hosts     Hosts       `yaml:"hosts"`
-	Log       Log         `yaml:"log"`
-	Stop      Stop        `yaml:"stop"`
+	Zone object.Zone `yaml:"zone"`
+	// Capacity is the processor share of this host in cores. Zero: not known.
+	Capacity  float64   `yaml:"capacity"`
+	Callers   Callers   `yaml:"callers"`
+	Peers     Peers     `yaml:"peers"`
+	Operators Operators `yaml:"operators"`
+	Store     Store     `yaml:"store"`
+	Hosts     Hosts     `yaml:"hosts"`
+	Log       Log       `yaml:"log"`
+	Stop      Stop      `yaml:"stop"`
 	// Gateway is set for a host that passes requests on as they are and follows the
 	// platform's store. It needs no listeners for callers and operators beside it.
 	Gateway *Gateway `yaml:"gateway"`
@@ -213,6 +215,9 @@
 func (c *checker) check(s *Settings) {
 	c.require(s.Host, "host")
 	c.require(string(s.Zone), "zone")
+	if s.Capacity < 0 {
+		c.fault("is negative", "capacity")
+	}
 	c.checkCommon(s)
 	if s.Gateway != nil {
 		c.checkGateway(s.Gateway)
