--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -110,7 +110,11 @@
 // retryAfter suggests when to come back: when the work ahead is likely to be done,
 // spread by up to half so that callers do not return together.
 func (s *Shard) retryAfter(now time.Time, q *request) time.Duration {
-	wait := min(max(s.rate.wait(s.ahead(q)), minRetryAfter), maxRetryAfter)
+	return s.returnAfter(now, q, min(max(s.rate.wait(s.ahead(q)), minRetryAfter), maxRetryAfter))
+}
+
+// returnAfter lets a request come back after the wait, or later if it has the time.
+func (s *Shard) returnAfter(now time.Time, q *request, wait time.Duration) time.Duration {
 	if q.MayReturn && !q.deadline.IsZero() {
 		// The load that refused it may last; it comes back as late as still leaves time.
 		wait = max(wait, q.deadline.Sub(now)/returnPart)
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -178,7 +178,7 @@
 	s.requests[q.ID] = q
 	if wait, ok := s.takeQuota(now, q); !ok {
 		s.forget(q)
-		s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Reason: outcome.AccountLimit, RetryAfter: spread(q.ID, max(wait, minRetryAfter))})
+		s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Reason: outcome.AccountLimit, RetryAfter: s.returnAfter(now, q, max(wait, minRetryAfter))})
 		return
 	}
 	s.enqueue(q)
