Give targets that answer with errors less work, and take them out

Change: an error rate of each target; it scales the slots, and a target above the mean of the pool by 0.45 is probed; resumable streams whose target answers with an error go to another.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -270,12 +270,14 @@
 	if a.started && response.StatusCode != http.StatusOK {
 		return wire.Finish{}, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s did not resume: status %d", target.Name, response.StatusCode)
 	}
-	if response.StatusCode >= http.StatusInternalServerError && s.repeatsError(r, a) {
+	failed := response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
+	if failed && s.repeatsError(r, a) {
 		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s answered with status %d", target.Name, response.StatusCode)
 	}
 	measure, err := a.copy(response)
 	finish := wire.Finish{
 		Dispatched:   true,
+		Failed:       failed,
 		Completed:    err == nil && response.StatusCode < http.StatusMultipleChoices,
 		PromptTokens: r.demand.PromptTokens,
 	}
@@ -315,7 +317,8 @@
 
 // repeatsError reports whether an error that the target answered is worth another attempt.
 func (s *Server) repeatsError(r *request, a *answer) bool {
-	return r.route.Repeatable() && !a.started && len(r.tried)+1 < r.route.MaxAttempts && time.Until(r.deadline) > minLeft && s.repeats.left(r.pool, time.Now())
+	mayRunAgain := r.route.Repeatable() || r.route.Resumable
+	return mayRunAgain && !a.started && len(r.tried)+1 < r.route.MaxAttempts && time.Until(r.deadline) > minLeft && s.repeats.left(r.pool, time.Now())
 }
 
 // connectionHeaders concern one connection only and are not passed on.
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -264,6 +264,8 @@
 		{"not sealed, non-idempotent", unsealed, "/write/x", http.StatusBadGateway, []int{1, 0}},
 		{"error of the target, idempotent", answerWith(500, "bad"), "/read/x", http.StatusOK, []int{1, 1}},
 		{"error of the target, non-idempotent", answerWith(500, "bad"), "/write/x", http.StatusInternalServerError, []int{1, 0}},
+		{"error of the target, stream", answerWith(500, "bad"), "/fixed/x", http.StatusInternalServerError, []int{1, 0}},
+		{"error of the target, resumable stream", answerWith(500, "bad"), "/resumed/x", http.StatusOK, []int{1, 1}},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -56,8 +56,8 @@
 	startedMS int64
 	// pausedUntil is set while the target refuses requests.
 	pausedUntil time.Time
-	// errors counts failed answers since the last good one.
-	errors int
+	// errorRate is the recent share of failed answers.
+	errorRate float64
 
 	limit     float64
 	inFlight  int
@@ -95,7 +95,7 @@
 	}
 	if t.startedMS != spec.StartedMS {
 		t.startedMS = spec.StartedMS
-		t.samples, t.speed, t.errors = 0, 1, 0
+		t.samples, t.speed, t.errorRate = 0, 1, 0
 	}
 }
 
@@ -107,7 +107,7 @@
 	case t.probing:
 		return 1
 	case t.fixed:
-		return int(t.limit)
+		return max(int(t.limit*(1-t.errorRate)), 1)
 	case t.speed < stragglerSpeed:
 		return max(int(t.limit*t.speed), 1)
 	}
@@ -132,7 +132,7 @@
 // observe adapts the limit and the speed to a completed request.
 func (t *target) observe(now time.Time, f wire.Finish) {
 	t.failures = 0
-	t.errors = 0
+	t.errorRate *= 1 - errorWeight
 	t.probing = false
 	if !t.engine || f.DecodeUS == 0 {
 		return // Nothing was learned about the speed.
@@ -179,9 +179,11 @@
 const (
 	// rejectPause is how long a target that refused a request gets no new one.
 	rejectPause = 50 * time.Millisecond
-	// maxErrors is the number of failed answers in a row after which a target is only
-	// probed.
-	maxErrors = 3
+	// errorWeight is the weight of one answer in the error rate of a target.
+	errorWeight = 0.15
+	// maxErrorRate is the error rate above that of the whole pool at which a target is taken
+	// out and probed. One that answers each request with an error gets there after four.
+	maxErrorRate = 0.45
 )
 
 // rejected pauses a target that has refused a request as full.
@@ -193,13 +195,24 @@
 	s.fixReady(t)
 }
 
-// failedAnswer counts an answer that was broken off or an error of the target. A target
-// with several in a row is taken out like one that cannot be reached.
+// failedAnswer counts an answer that was broken off or an error of the target. A target that
+// fails much more often than the others gets less work and is taken out in the end like one
+// that cannot be reached, whatever it says of its health: errors come fast, so it would draw
+// ever more work.
 func (s *Shard) failedAnswer(now time.Time, t *target) {
-	t.errors++
-	if t.errors >= maxErrors {
+	t.errorRate += (1 - t.errorRate) * errorWeight
+	if t.probing || t.errorRate > s.meanErrorRate()+maxErrorRate {
 		s.fail(now, t)
 	}
+	s.fixReady(t)
+}
+
+func (s *Shard) meanErrorRate() float64 {
+	sum := 0.0
+	for _, t := range s.targets {
+		sum += t.errorRate
+	}
+	return sum / float64(max(len(s.targets), 1))
 }
 
 // reopen lets targets be tried again whose backoff has passed.
