--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -577,3 +577,13 @@
 	require.Equal(t, []string{"strong", "weak"}, few, "a caller gets some to choose from")
 	require.Len(t, chooseAddresses([]board.Member{{CallerURL: "a"}}, func() float64 { return 0.5 }), 1)
 }
+
+// TestTargetThatAnswersWithErrorsIsTakenOut sends requests one after the other, so that a
+// target with fast errors is always free.
+func TestTargetThatAnswersWithErrorsIsTakenOut(t *testing.T) {
+	s := newSite(t, answerWith(http.StatusInternalServerError, "bad"), answerWith(http.StatusOK, "sound"))
+	for range 40 {
+		s.send("POST", "/write/x", "")
+	}
+	require.LessOrEqual(t, s.runs()[0], 10)
+}
