Give a new arbiter the part of the quotas that is safe

Change: the start level is what the tolerated excess leaves beside the predecessor's part, and grows with the share.

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -11,8 +11,8 @@
 	// quotaMargin is the share by which an account may pass its rate, so that one inside
 	// its limit is not refused because its requests arrive bunched.
 	quotaMargin = 0.02
-	// startShare is the share of the burst that a new arbiter assumes to be left. It does
-	// not know what its predecessor has granted.
+	// startShare is the least share of the burst that a new arbiter assumes to be left. It
+	// does not know what its predecessor has granted.
 	startShare = 0.1
 	// toleranceShare is the part of the tolerated excess that is used; the rest covers what
 	// a change of arbiter may grant twice.
@@ -36,6 +36,26 @@
 // what is tolerated.
 type quotaUse struct {
 	within, beyond bucket
+	// started is the highest share of the quota for which the start level was given.
+	started float64
+}
+
+// startLevel returns what a new arbiter may grant at once: what is left of the tolerated
+// excess when its predecessor has used its part to the full.
+func startLevel(q *object.Quota) float64 {
+	rest := q.Tolerated() * (1 - toleranceShare)
+	rest -= q.PerSecond * quotaMargin * time.Duration(q.Window).Seconds()
+	return min(max(rest, q.Burst*startShare), q.Burst)
+}
+
+// start gives the start level for a share that has grown. Fronts come to a new arbiter one
+// after the other.
+func (u *quotaUse) start(q *object.Quota, share float64) {
+	if share <= u.started {
+		return
+	}
+	u.within.level += (share - u.started) * startLevel(q)
+	u.started = share
 }
 
 // fill brings both buckets to the present. Half of the tolerated excess can be used at
@@ -78,9 +98,10 @@
 	defer q.mu.Unlock()
 	use := q.uses[name]
 	if use == nil {
-		use = &quotaUse{within: bucket{quota.Burst * startShare * share, now}, beyond: bucket{0, now}}
+		use = &quotaUse{within: bucket{0, now}, beyond: bucket{0, now}}
 		q.uses[name] = use
 	}
+	use.start(quota, share)
 	use.fill(now, quota, share)
 	// A request larger than the burst passes when the bucket is full.
 	need := min(cost, quota.Burst*share)
