--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -283,7 +283,8 @@
 	}
 	if measure.events > 1 {
 		finish.FirstTokenMS = measure.first.Sub(sentAt).Milliseconds()
-		finish.DecodeUS = measure.last.Sub(measure.first).Microseconds() / int64(measure.events-1)
+		finish.OutputTokens = max(r.demand.OutputTokens, measure.events)
+		finish.DecodeUS = measure.last.Sub(measure.first).Microseconds() / int64(finish.OutputTokens)
 	}
 	if err != nil {
 		return finish, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s: %v", target.Name, err)
--- a/internal/pool/shard/platform_test.go
+++ b/internal/pool/shard/platform_test.go
@@ -357,3 +357,27 @@
 		require.LessOrEqual(t, used, allowed, "change after %d s", change)
 	}
 }
+
+// TestLongAnswersGoToTargetsThatFinishInTime gives long and short requests to a slow target
+// that is idle and a fast one that is not.
+func TestLongAnswersGoToTargetsThatFinishInTime(t *testing.T) {
+	rows := []struct {
+		name   string
+		tokens int
+		want   object.TargetName
+	}{
+		{"short", 100, "engine-1"},
+		{"long", 2000, "engine-2"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			b := newDiscoveredBench(t, 2, 10)
+			slow, fast := b.shard.targets["engine-1"], b.shard.targets["engine-2"]
+			slow.decode, slow.samples = 8600, minSamples
+			fast.decode, fast.samples, fast.inFlight = 3000, minSamples, 5
+			b.shard.fixReady(fast)
+			_, decisions := b.ask("third", func(r *wire.Register) { r.OutputTokens = row.tokens; r.DeadlineMS = 15_000 })
+			require.Equal(t, row.want, decisions[0].(Grant).Target)
+		})
+	}
+}
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -331,7 +331,7 @@
 		if q == nil {
 			return
 		}
-		t := s.place(q)
+		t := s.place(now, q)
 		if t == nil && len(q.Avoid) > 0 && s.ready.len() > 0 {
 			s.refuse(now, q, outcome.NoTarget) // Only targets are free that it must avoid.
 			continue
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -305,11 +305,11 @@
 
 // place picks the target for a request: one that holds a prefix of its prompt unless
 // it is much more loaded, else the least loaded. It returns nil if no slot is free.
-func (s *Shard) place(q *request) *target {
+func (s *Shard) place(now time.Time, q *request) *target {
 	if s.ready.len() == 0 {
 		return nil
 	}
-	least := s.leastLoaded(q)
+	least := s.leastLoaded(now, q)
 	if least == nil {
 		return nil
 	}
@@ -317,7 +317,7 @@
 		saved := float64(i+1) / float64(len(q.Prefixes))
 		var best *target
 		for _, holder := range s.prefixes.holders(q.Prefixes[i]) {
-			if slices.Contains(q.Avoid, holder.name) {
+			if slices.Contains(q.Avoid, holder.name) || holder.tooSlow(now, q) {
 				continue
 			}
 			if holder.readyIndex != notQueued && (best == nil || holder.load() < best.load()) {
@@ -331,21 +331,43 @@
 	return least
 }
 
-// leastLoaded returns the least loaded target that the request may be sent to, or nil.
-func (s *Shard) leastLoaded(q *request) *target {
+// leastLoaded returns the least loaded target that the request may be sent to and that can
+// answer in time, else the fastest one, or nil.
+func (s *Shard) leastLoaded(now time.Time, q *request) *target {
 	first := s.ready.first()
-	if !slices.Contains(q.Avoid, first.name) {
+	if !slices.Contains(q.Avoid, first.name) && !first.tooSlow(now, q) {
 		return first
 	}
-	var best *target
+	var best, fastest *target
 	for _, t := range s.ready.all() {
-		if !slices.Contains(q.Avoid, t.name) && (best == nil || leastLoaded(t, best)) {
+		if slices.Contains(q.Avoid, t.name) {
+			continue
+		}
+		if fastest == nil || t.decode < fastest.decode {
+			fastest = t
+		}
+		if !t.tooSlow(now, q) && (best == nil || leastLoaded(t, best)) {
 			best = t
 		}
 	}
+	if best == nil {
+		return fastest
+	}
 	return best
 }
 
+// decodeShare is the part of the time left that the tokens of an answer may take.
+const decodeShare = 0.6
+
+// tooSlow reports whether the target would take too long for the tokens of the answer.
+func (t *target) tooSlow(now time.Time, q *request) bool {
+	if q.deadline.IsZero() || t.samples < minSamples {
+		return false
+	}
+	expected := time.Duration(float64(q.OutputTokens)*t.decode) * time.Microsecond
+	return float64(expected) > decodeShare*float64(q.deadline.Sub(now))
+}
+
 // prefixBias is how much more loaded a target that holds the whole prefix may be.
 const prefixBias = 0.5
 
