--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -164,6 +164,7 @@
 		Prefixes:     r.demand.Prefixes,
 		DeadlineMS:   max(time.Until(r.deadline).Milliseconds(), 1),
 		Avoid:        r.tried,
+		Zone:         s.common.Settings.Zone,
 	}
 	if r.demand.ExpectedOutput > 0 {
 		w.OutputTokens = min(r.demand.ExpectedOutput, r.demand.OutputTokens)
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -51,6 +51,8 @@
 	// QuotaCost is what the request uses of the quota of its account; 0 for a request that
 	// was charged before.
 	QuotaCost float64 `json:"quota-cost,omitempty"`
+	// Zone is the availability zone of the front.
+	Zone object.Zone `json:"zone,omitempty"`
 	// Avoid are targets that the request was sent to before.
 	Avoid []object.TargetName `json:"avoid,omitempty"`
 	// WaitedMS is how long the request has waited already.
--- a/internal/pool/shard/platform_test.go
+++ b/internal/pool/shard/platform_test.go
@@ -381,3 +381,24 @@
 		})
 	}
 }
+
+func TestTargetsInTheZoneOfTheFrontArePreferred(t *testing.T) {
+	rows := []struct {
+		name     string
+		inFlight int
+		want     object.TargetName
+	}{
+		{"little more loaded", 2, "engine-2"},
+		{"much more loaded", 8, "engine-1"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			b := newDiscoveredBench(t, 2, 10)
+			near := b.shard.targets["engine-2"]
+			near.zone, near.inFlight = "b", row.inFlight
+			b.shard.fixReady(near)
+			_, decisions := b.ask("first", func(r *wire.Register) { r.Zone = "b" })
+			require.Equal(t, row.want, decisions[0].(Grant).Target)
+		})
+	}
+}
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -332,13 +332,10 @@
 }
 
 // leastLoaded returns the least loaded target that the request may be sent to and that can
-// answer in time, else the fastest one, or nil.
+// answer in time, else the fastest one, or nil. One in the zone of the front is preferred
+// unless it is much more loaded.
 func (s *Shard) leastLoaded(now time.Time, q *request) *target {
-	first := s.ready.first()
-	if !slices.Contains(q.Avoid, first.name) && !first.tooSlow(now, q) {
-		return first
-	}
-	var best, fastest *target
+	var best, near, fastest *target
 	for _, t := range s.ready.all() {
 		if slices.Contains(q.Avoid, t.name) {
 			continue
@@ -346,16 +343,28 @@
 		if fastest == nil || t.decode < fastest.decode {
 			fastest = t
 		}
-		if !t.tooSlow(now, q) && (best == nil || leastLoaded(t, best)) {
+		if t.tooSlow(now, q) {
+			continue
+		}
+		if best == nil || leastLoaded(t, best) {
 			best = t
 		}
+		if t.zone == q.Zone && (near == nil || leastLoaded(t, near)) {
+			near = t
+		}
 	}
-	if best == nil {
+	switch {
+	case best == nil:
 		return fastest
+	case near != nil && near.load() <= best.load()+zoneBias:
+		return near
 	}
 	return best
 }
 
+// zoneBias is how much more loaded a target in the zone of the front may be.
+const zoneBias = 0.3
+
 // decodeShare is the part of the time left that the tokens of an answer may take.
 const decodeShare = 0.6
 
