--- a/internal/pool/shard/platform_test.go
+++ b/internal/pool/shard/platform_test.go
@@ -402,3 +402,20 @@
 		})
 	}
 }
+
+// TestUsualErrorsCostNoSlots replays a service that answers one call of seven with an error.
+func TestUsualErrorsCostNoSlots(t *testing.T) {
+	b := newDiscoveredBench(t, 3, 6)
+	for i := range 210 {
+		id, decisions := b.ask("first", nil)
+		require.Len(t, granted(decisions), 1)
+		b.shard.Finish(b.now, wire.Finish{ID: id, Pool: testPool, Dispatched: true, Completed: i%7 != 0, Failed: i%7 == 0})
+		b.advance(10 * time.Millisecond)
+	}
+	free := 0
+	for range 18 {
+		_, decisions := b.ask("first", nil)
+		free += len(granted(decisions))
+	}
+	require.Equal(t, 18, free)
+}
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,10 @@
 )
 
 const (
+	// serviceOvercommit is how many times its slots a plain service may have in flight: its
+	// calls are so short that a slot would often be idle while the next one is on its way.
+	serviceOvercommit = 1.25
+
 	minLimit = 1.0
 	maxLimit = 4096.0
 	// limitDecrease is the factor applied to the limit of an overloaded target.
@@ -58,6 +63,8 @@
 	pausedUntil time.Time
 	// errorRate is the recent share of failed answers.
 	errorRate float64
+	// excess is how far the error rate is above that of the pool, beyond what is usual.
+	excess float64
 
 	limit     float64
 	inFlight  int
@@ -92,10 +99,13 @@
 	t.fixed = view.FixedSlots
 	if t.fixed {
 		t.limit = float64(spec.Slots)
+		if view.Type == object.ServicePool {
+			t.limit = math.Ceil(t.limit * serviceOvercommit)
+		}
 	}
 	if t.startedMS != spec.StartedMS {
 		t.startedMS = spec.StartedMS
-		t.samples, t.speed, t.errorRate = 0, 1, 0
+		t.samples, t.speed, t.errorRate, t.excess = 0, 1, 0, 0
 	}
 }
 
@@ -107,7 +117,7 @@
 	case t.probing:
 		return 1
 	case t.fixed:
-		return max(int(t.limit*(1-t.errorRate)), 1)
+		return max(int(t.limit*(1-t.excess)), 1)
 	case t.speed < stragglerSpeed:
 		return max(int(t.limit*t.speed), 1)
 	}
@@ -133,6 +143,7 @@
 func (t *target) observe(now time.Time, f wire.Finish) {
 	t.failures = 0
 	t.errorRate *= 1 - errorWeight
+	t.excess = min(t.excess, t.errorRate)
 	t.probing = false
 	if !t.engine || f.DecodeUS == 0 {
 		return // Nothing was learned about the speed.
@@ -181,6 +192,8 @@
 	rejectPause = 50 * time.Millisecond
 	// errorWeight is the weight of one answer in the error rate of a target.
 	errorWeight = 0.15
+	// usualDeviation is how far the error rate of a sound target may be above the mean.
+	usualDeviation = 0.15
 	// maxErrorRate is the error rate above that of the whole pool at which a target is taken
 	// out and probed. One that answers each request with an error gets there after four.
 	maxErrorRate = 0.45
@@ -201,7 +214,9 @@
 // ever more work.
 func (s *Shard) failedAnswer(now time.Time, t *target) {
 	t.errorRate += (1 - t.errorRate) * errorWeight
-	if t.probing || t.errorRate > s.meanErrorRate()+maxErrorRate {
+	mean := s.meanErrorRate()
+	t.excess = max(t.errorRate-mean-usualDeviation, 0)
+	if t.probing || t.errorRate > mean+maxErrorRate {
 		s.fail(now, t)
 	}
 	s.fixReady(t)
