--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -5,7 +5,6 @@
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/object"
-	"redwinglock/internal/state/outcome"
 )
 
 // request is one registered request.
@@ -135,16 +134,6 @@
 	s.waiting++
 }
 
-// becomeLate handles a waiting request that can no longer be answered in time. One that
-// can come back later does so: the pool is overloaded now.
-func (s *Shard) becomeLate(now time.Time, q *request) {
-	if false && q.MayReturn {
-		s.refuse(now, q, outcome.QueueTimeout)
-		return
-	}
-	s.demote(q)
-}
-
 // demote moves a waiting request that can no longer be answered in time below the others
 // of its tier.
 func (s *Shard) demote(q *request) {
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -382,7 +382,7 @@
 	for s.timers.len() > 0 && !limit.Before(s.timers.first().dueAt) {
 		q := s.timers.first()
 		if q.dueAt.Before(q.giveUpAt) {
-			s.becomeLate(now, q)
+			s.demote(q)
 			continue
 		}
 		if s.lowerRunning(q.tier) {
