--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -303,7 +303,7 @@
 		s.latency(r, "first_token").Record(time.Duration(f.FirstTokenMS) * time.Millisecond)
 		s.latency(r, "between_tokens").Record(time.Duration(f.DecodeUS) * time.Microsecond)
 	}
-	if !s.routine.allow(now) {
+	if !s.routine.Allow(now) {
 		return
 	}
 	r.log.WithFields(logrus.Fields{
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -32,6 +32,10 @@
 	stoppingRetryAfter = 200 * time.Millisecond
 )
 
+// routinePerSecond bounds the log lines about answered requests, so that under load those
+// about refusals and failures have room.
+const routinePerSecond = 100
+
 // Server answers callers.
 type Server struct {
 	common   *common.Common
@@ -41,7 +45,8 @@
 	targets  *passthrough.Client
 	dialect  Dialect
 	repeats  *repeatBudget
-	routine  routineLimit
+	// routine bounds the log lines about answered requests.
+	routine  common.PerSecond
 	patience *patience
 
 	run    wire.HostID
@@ -61,6 +66,7 @@
 		targets:  targets,
 		dialect:  dialect,
 		repeats:  newRepeatBudget(c.Settings.Gateway.RepeatShare, c.Settings.Gateway.RepeatSlack),
+		routine:  common.PerSecond{Limit: routinePerSecond},
 		patience: newPatience(),
 		run:      b.Members().Self.Run,
 	}
--- /dev/null
+++ b/internal/pool/shard/placement.go
@@ -0,0 +1,109 @@
+package shard
+
+import (
+	"slices"
+	"time"
+)
+
+// place picks the target for a request: one that holds a prefix of its prompt unless
+// it is much more loaded, else the least loaded. It returns nil if no slot is free.
+func (s *Shard) place(now time.Time, q *request) *target {
+	if s.ready.len() == 0 {
+		return nil
+	}
+	least := s.leastLoaded(now, q)
+	if least == nil {
+		return nil
+	}
+	for i := len(q.Prefixes) - 1; i >= 0; i-- {
+		saved := float64(i+1) / float64(len(q.Prefixes))
+		var best *target
+		for _, holder := range s.prefixes.holders(q.Prefixes[i]) {
+			if slices.Contains(q.Avoid, holder.name) || holder.tooSlow(now, q) {
+				continue
+			}
+			if holder.readyIndex != notQueued && (best == nil || holder.load() < best.load()) {
+				best = holder
+			}
+		}
+		if best != nil && best.load() <= least.load()+prefixBias*saved {
+			return best
+		}
+	}
+	return least
+}
+
+// leastLoaded returns the least loaded target that the request may be sent to and that can
+// answer in time, else the fastest one, or nil. One in the zone of the front is preferred
+// unless it is much more loaded.
+func (s *Shard) leastLoaded(now time.Time, q *request) *target {
+	var best, near, fastest *target
+	for _, t := range s.ready.all() {
+		if slices.Contains(q.Avoid, t.name) {
+			continue
+		}
+		if fastest == nil || t.decode < fastest.decode {
+			fastest = t
+		}
+		if t.tooSlow(now, q) {
+			continue
+		}
+		if best == nil || leastLoaded(t, best) {
+			best = t
+		}
+		if t.zone == q.Zone && (near == nil || leastLoaded(t, near)) {
+			near = t
+		}
+	}
+	switch {
+	case best == nil:
+		return fastest
+	case near != nil && near.load() <= best.load()+zoneBias:
+		return near
+	}
+	return best
+}
+
+// zoneBias is how much more loaded a target in the zone of the front may be.
+const zoneBias = 0.3
+
+// decodeShare is the part of the time left that the tokens of an answer may take.
+const decodeShare = 0.6
+
+// tooSlow reports whether the target would take too long for the tokens of the answer.
+func (t *target) tooSlow(now time.Time, q *request) bool {
+	if q.deadline.IsZero() || t.samples < minSamples {
+		return false
+	}
+	expected := time.Duration(float64(q.OutputTokens)*t.decode) * time.Microsecond
+	return float64(expected) > decodeShare*float64(q.deadline.Sub(now))
+}
+
+// prefixBias is how much more loaded a target that holds the whole prefix may be.
+const prefixBias = 0.5
+
+// position implements positioned.
+func (t *target) position() *int { return &t.readyIndex }
+
+// leastLoaded orders targets by load.
+func leastLoaded(a, b *target) bool {
+	x, y := a.load(), b.load()
+	if x != y {
+		return x < y
+	}
+	return a.name < b.name
+}
+
+// fixReady adds, moves or removes a target among those with free slots, after a change of
+// its slots or load.
+func (s *Shard) fixReady(t *target) {
+	free := t.inFlight < t.slots()
+	switch {
+	case free && t.readyIndex == notQueued:
+		s.ready.push(t)
+	case free:
+		s.ready.fix(t)
+	case t.readyIndex != notQueued:
+		s.ready.remove(t)
+	}
+}
--- a/internal/state/common/output.go
+++ b/internal/state/common/output.go
@@ -25,10 +25,7 @@
 	dropped atomic.Int64
 	onDrop  func(int64)
 
-	mu     sync.Mutex
-	second time.Time
-	taken  int
-
+	rate PerSecond
 	// toldAt is when the last line about dropped lines was written.
 	toldAt  time.Time
 	closing chan struct{}
@@ -38,14 +35,14 @@
 // newOutput starts to write. onDrop is told how many lines were dropped since it was last
 // called; it may be nil.
 func newOutput(to io.Writer, onDrop func(int64)) *output {
-	o := &output{to: to, lines: make(chan []byte, outputLines), onDrop: onDrop, closing: make(chan struct{})}
+	o := &output{to: to, lines: make(chan []byte, outputLines), onDrop: onDrop, rate: PerSecond{Limit: outputPerSecond}, closing: make(chan struct{})}
 	o.done.Go(o.run)
 	return o
 }
 
 // Write implements io.Writer.
 func (o *output) Write(line []byte) (int, error) {
-	if !o.admit(time.Now()) {
+	if !o.rate.Allow(time.Now()) {
 		o.dropped.Add(1)
 		return len(line), nil
 	}
@@ -58,17 +55,6 @@
 	return len(line), nil
 }
 
-func (o *output) admit(now time.Time) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if now.Sub(o.second) >= time.Second {
-		o.second = now
-		o.taken = 0
-	}
-	o.taken++
-	return o.taken <= outputPerSecond
-}
-
 func (o *output) run() {
 	for {
 		select {
