--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"reflect"
 	"sync"
 	"time"
 
@@ -36,9 +37,11 @@
 	metricsPath  = "/metrics"
 )
 
-// RunGateway starts a host that passes requests on, waits for a signal and stops it.
-func RunGateway(s *settings.Settings, tree store.Tree, translator discovery.Translator, dialect gateway.Dialect) error {
+// RunGateway starts a host that passes requests on, waits for a signal and stops it. load
+// reads the settings again on SIGHUP.
+func RunGateway(s *settings.Settings, load func() (*settings.Settings, error), tree store.Tree, translator discovery.Translator, dialect gateway.Dialect) error {
 	gin.SetMode(gin.ReleaseMode)
+	var c *common.Common
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
@@ -60,11 +63,24 @@
 			gateway.New,
 		),
 		fx.Invoke(runGateway),
+		fx.Populate(&c),
 	)
 	if err := app.Err(); err != nil {
 		return fmt.Errorf("wire host: %w", err)
 	}
-	return runApp(app)
+	return runApp(app, func() { reload(c, load) })
+}
+
+// reload checks the settings file again. Settings take effect at the next start; what is
+// wrong or waits for it is told now.
+func reload(c *common.Common, load func() (*settings.Settings, error)) {
+	log := c.Log("host")
+	next, err := load()
+	if err != nil {
+		log.WithError(err).Error("Settings are wrong, those in force stay.")
+		return
+	}
+	log.WithField("changed", !reflect.DeepEqual(next, c.Settings)).Info("Settings read again, changes wait for the next start.")
 }
 
 func newDiscovery(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree, t discovery.Translator) *discovery.Controller {
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -81,27 +81,36 @@
 	if err := app.Err(); err != nil {
 		return fmt.Errorf("wire host: %w", err)
 	}
-	return runApp(app)
+	return runApp(app, func() {})
 }
 
-// runApp starts an application, waits for a signal and stops it.
-func runApp(app *fx.App) error {
+// runApp starts an application, waits for a signal and stops it. SIGHUP calls reload.
+func runApp(app *fx.App, reload func()) error {
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	<-signals
+	for <-signals == syscall.SIGHUP {
+		reload()
+	}
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
 	go func() {
-		select {
-		case <-signals:
-			cancelStop()
-		case <-stopCtx.Done():
+		for {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					continue // There is nothing left to change.
+				}
+				cancelStop()
+				return
+			case <-stopCtx.Done():
+				return
+			}
 		}
 	}()
 	if err := app.Stop(stopCtx); err != nil {
--- a/main.go
+++ b/main.go
@@ -123,7 +123,8 @@
 		return nil
 	}
 	if s.Gateway != nil {
-		return host.RunGateway(s, platform.NewStore(s.Gateway.Store, s.Gateway.StoreTimeout), platform.Translator{Quota: s.Gateway.Quota}, platform.Dialect{})
+		load := func() (*settings.Settings, error) { return settings.Load(args.Settings) }
+		return host.RunGateway(s, load, platform.NewStore(s.Gateway.Store, s.Gateway.StoreTimeout), platform.Translator{Quota: s.Gateway.Quota}, platform.Dialect{})
 	}
 	return host.Run(s)
 }
