Decline grants of unknown targets without blaming them; resumed streams are in time until the gap; callers that leave blame no target

Found by reading: a front that hears of a new target after the arbiter reported it as unreachable, which took it out for 0.25 s and more; a stream that goes on ranked as late at once; a failed write to a caller that has left counted as a failure of the target. Test: TestDeclinedGrantBlamesNoTarget. The check of answers is its own function now.

--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -55,7 +55,7 @@
 	}
 	a.start(response)
 	if _, err := a.writer.Write(content); err != nil {
-		return fmt.Errorf("write answer: %w", err)
+		return fmt.Errorf("%w: write answer: %w", errCallerGone, err)
 	}
 	if _, err := io.Copy(a.writer, response.Body); err != nil {
 		return fmt.Errorf("copy answer: %w", err)
@@ -114,7 +114,7 @@
 	m.events++
 	m.last = time.Now()
 	if _, err := a.writer.Write(whole); err != nil {
-		return fmt.Errorf("write events: %w", err)
+		return fmt.Errorf("%w: write events: %w", errCallerGone, err)
 	}
 	a.writer.Flush()
 	return nil
@@ -126,7 +126,7 @@
 		return nil
 	}
 	if _, err := a.writer.Write(a.events.rest); err != nil {
-		return fmt.Errorf("write events: %w", err)
+		return fmt.Errorf("%w: write events: %w", errCallerGone, err)
 	}
 	return nil
 }
--- a/internal/entry/gateway/dialect.go
+++ b/internal/entry/gateway/dialect.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/url"
 	"time"
 
 	"redwinglock/internal/peer/wire"
@@ -22,8 +21,6 @@
 	ReadinessPath() string
 	// ResolvePath is the path at which callers ask which addresses to use.
 	ResolvePath() string
-	// ReadResolve returns the zone of a caller that asks for addresses.
-	ReadResolve(query url.Values) object.Zone
 	// WriteResolve encodes addresses and how long they may be kept.
 	WriteResolve(addresses []string, ttl time.Duration) ([]byte, error)
 }
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -88,17 +88,21 @@
 // attempt waits for a target and sends the request to it. Targets that have not run the
 // request are replaced.
 func (s *Server) attempt(ctx context.Context, caller *http.Request, r *request, a *answer) (attemptResult, error) {
-	ticket := s.arbiters.Register(s.registration(r))
+	ticket := s.arbiters.Register(s.registration(r, a.started))
 	for rejections := 0; ; {
 		name, err := s.arbiters.Wait(ctx, ticket)
 		if err != nil {
 			return answered, s.waitFailed(a, err)
 		}
 		target := s.findTarget(r, name)
-		if target == nil || !ticket.Dispatch() {
-			ticket.Unreachable()
+		if target == nil {
+			r.log.WithField("target", name).Info("Target not known here.")
+			ticket.Decline()
 			continue
 		}
+		if !ticket.Dispatch() {
+			continue // The grant has ended; the next one is on its way.
+		}
 		finish, err := s.send(ctx, caller, r, target, a)
 		switch {
 		case err == nil:
@@ -124,6 +128,9 @@
 			}
 			finish.Rejected = true
 			ticket.Return(finish)
+		case errors.Is(err, errCallerGone):
+			ticket.Finish(finish)
+			return answered, outcome.Lost(outcome.Unknown, outcome.CallerGone, "%v", err)
 		default:
 			a.mayHaveRun = true
 			r.tried = append(r.tried, name)
@@ -153,7 +160,8 @@
 	return wire.RequestID(fmt.Sprintf("%s.%d", r.id, r.attempts))
 }
 
-func (s *Server) registration(r *request) wire.Register {
+// registration tells the arbiter about a request, or about a stream that goes on.
+func (s *Server) registration(r *request, goesOn bool) wire.Register {
 	w := wire.Register{
 		ID:           r.registrationID(),
 		Pool:         r.pool,
@@ -177,6 +185,11 @@
 		w.MaxWaitMS = maxWait(r, objective).Milliseconds()
 		w.MayReturn = before < objective && time.Until(r.deadline) > returnObjectives*objective
 	}
+	if goesOn && r.route.EventGap > 0 {
+		// The answer is in time if its next event comes within the gap.
+		w.ObjectiveMS = time.Duration(r.route.EventGap).Milliseconds()
+		w.MayReturn = false
+	}
 	if r.account != nil {
 		w.Account = r.account.Name
 		if r.account.Quota != nil && len(r.tried) == 0 {
@@ -221,6 +234,9 @@
 	return nil
 }
 
+// errCallerGone says that the answer could not be passed on because the caller has left.
+var errCallerGone = errors.New("caller has gone")
+
 // errNotRun says that the target has not run the request.
 var errNotRun = errors.New("target has not run the request")
 
@@ -257,23 +273,9 @@
 		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s: %v", target.Name, err)
 	}
 	defer response.Body.Close()
-	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
-	if reply.NotRun {
-		r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode, "wrong-target": reply.Wrong}).Info("Target refused.")
-		return wire.Finish{}, errNotRun
-	}
-	if reply.ID != r.demand.ID {
-		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s answered another request", target.Name)
-	}
-	if response.StatusCode < http.StatusMultipleChoices && !reply.Sealed {
-		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s did not seal its answer", target.Name)
-	}
-	if a.started && response.StatusCode != http.StatusOK {
-		return wire.Finish{}, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s did not resume: status %d", target.Name, response.StatusCode)
-	}
 	failed := response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
-	if failed && s.repeatsError(r, a) {
-		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s answered with status %d", target.Name, response.StatusCode)
+	if err := s.checkReply(r, a, target, response, failed); err != nil {
+		return wire.Finish{}, err
 	}
 	measure, err := a.copy(response)
 	finish := wire.Finish{
@@ -287,6 +289,9 @@
 		finish.OutputTokens = max(r.demand.OutputTokens, measure.events)
 		finish.DecodeUS = measure.last.Sub(measure.first).Microseconds() / int64(finish.OutputTokens)
 	}
+	if errors.Is(err, errCallerGone) {
+		return finish, err
+	}
 	if err != nil {
 		return finish, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s: %v", target.Name, err)
 	}
@@ -294,6 +299,26 @@
 	return finish, nil
 }
 
+// checkReply returns why an answer must not be passed on, or nil. failed answers are errors
+// of the target itself.
+func (s *Server) checkReply(r *request, a *answer, target *object.Target, response *http.Response, failed bool) error {
+	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
+	switch {
+	case reply.NotRun:
+		r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode, "wrong-target": reply.Wrong}).Info("Target refused.")
+		return errNotRun
+	case reply.ID != r.demand.ID:
+		return outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s answered another request", target.Name)
+	case response.StatusCode < http.StatusMultipleChoices && !reply.Sealed:
+		return outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s did not seal its answer", target.Name)
+	case a.started && response.StatusCode != http.StatusOK:
+		return outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s did not resume: status %d", target.Name, response.StatusCode)
+	case failed && s.repeatsError(r, a):
+		return outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s answered with status %d", target.Name, response.StatusCode)
+	}
+	return nil
+}
+
 // logAnswer writes one line about an answered request.
 func (s *Server) logAnswer(r *request, target *object.Target, status int, sentAt time.Time, f wire.Finish) {
 	now := time.Now()
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -58,9 +57,8 @@
 	return Reply{NotRun: h.Get("Not-Run") != "", ID: h.Get("Id"), Sealed: h.Get("Seal") != ""}
 }
 
-func (testDialect) ReadinessPath() string                { return "/ready" }
-func (testDialect) ResolvePath() string                  { return "/resolve" }
-func (testDialect) ReadResolve(q url.Values) object.Zone { return object.Zone(q.Get("zone")) }
+func (testDialect) ReadinessPath() string { return "/ready" }
+func (testDialect) ResolvePath() string   { return "/resolve" }
 
 func (testDialect) WriteResolve(addresses []string, ttl time.Duration) ([]byte, error) {
 	return json.Marshal(addresses)
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -158,32 +159,41 @@
 func (t *Ticket) Unreachable() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.phase != granted {
-		return
+	if t.phase == granted {
+		t.requeue(wire.Finish{Unreachable: true}, false)
+	}
+}
+
+// Decline returns a granted ticket to the queue because this host does not know the target,
+// or knows that it leaves. Another one is wanted; the target is not at fault.
+func (t *Ticket) Decline() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase == granted {
+		t.requeue(wire.Finish{}, true)
 	}
-	t.link.send(wire.Up{Finish: &wire.Finish{ID: t.id, Pool: t.registration.Pool, Unreachable: true}})
-	t.phase = waiting
-	t.target = ""
-	t.registration.QuotaCost = 0 // It was charged when it was first registered.
-	r := t.current(time.Now(), false)
-	t.link.send(wire.Up{Register: &r})
 }
 
 // Return puts a dispatched ticket back into the queue because its target has refused the
-// request or was never reached, so that it has not run. The target is avoided from now on.
+// request or was never reached, so that it has not run. A target that has refused is avoided
+// from now on.
 func (t *Ticket) Return(f wire.Finish) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.phase != dispatched {
-		return
+	if t.phase == dispatched {
+		t.requeue(f, f.Rejected)
 	}
+}
+
+// requeue ends the grant and registers the request again. It needs the lock.
+func (t *Ticket) requeue(f wire.Finish, avoid bool) {
 	f.ID = t.id
 	f.Pool = t.registration.Pool
 	t.link.send(wire.Up{Finish: &f})
-	t.phase = waiting
-	if f.Rejected {
-		t.registration.Avoid = append(t.registration.Avoid, t.target)
+	if avoid {
+		t.registration.Avoid = append(slices.Clone(t.registration.Avoid), t.target)
 	}
+	t.phase = waiting
 	t.target = ""
 	t.registration.QuotaCost = 0 // It was charged when it was first registered.
 	r := t.current(time.Now(), false)
--- a/internal/peer/arbiter/ticket_test.go
+++ b/internal/peer/arbiter/ticket_test.go
@@ -290,3 +290,21 @@
 		require.Less(t, time.Since(began), 50*time.Millisecond)
 	})
 }
+
+// TestDeclinedGrantBlamesNoTarget lets a front that does not know a target yet ask for
+// another one.
+func TestDeclinedGrantBlamesNoTarget(t *testing.T) {
+	l := &fakeLink{}
+	ticket := &Ticket{
+		client: &Client{}, id: "1", phase: granted, target: "t-new", link: l, createdAt: time.Now(),
+		registration: wire.Register{ID: "1", Pool: "p", QuotaCost: 5},
+	}
+	ticket.Decline()
+	require.Len(t, l.sent, 2)
+	require.False(t, l.sent[0].Finish.Unreachable)
+	again := l.sent[1].Register
+	require.Equal(t, []object.TargetName{"t-new"}, again.Avoid)
+	require.Zero(t, again.QuotaCost)
+	require.Equal(t, wire.Waiting, again.Phase)
+	require.False(t, ticket.Dispatch())
+}
