--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -64,6 +64,13 @@
 	f.wake()
 }
 
+// followed returns the number of watches so far.
+func (f *fakeTree) followed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.follows
+}
+
 func (f *fakeTree) wake() {
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -357,15 +364,15 @@
 		f.board.SetMembers(members)
 		require.False(t, f.d.watches())
 		time.Sleep(watchWait + time.Second) // The watch that is under way ends.
-		before := f.tree.follows
+		before := f.tree.followed()
 		for range 30 {
 			f.d.Nudge(member.Knowledge{Store: f.d.followed(), StoreAge: time.Second}, "http://peer")
 			time.Sleep(time.Second)
 		}
-		require.Equal(t, before, f.tree.follows)
+		require.Equal(t, before, f.tree.followed())
 		time.Sleep(maxAge + time.Second)
 		synctest.Wait()
-		require.Greater(t, f.tree.follows, before, "nobody confirms any more")
+		require.Greater(t, f.tree.followed(), before, "nobody confirms any more")
 	})
 }
 
