Believe that a target has gone when only this host is cut off from the store

Change: a failed call means an outage only when peers have not confirmed either for 2.5 s; a compaction is none; the grace is 1.7 s. Tests: a host that is cut off alone, a target that leaves in a compaction (both fail before).

--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -31,8 +31,12 @@
 	// batchPause lets changes that come together arrive in one answer.
 	batchPause = 50 * time.Millisecond
 	// lapseGrace is how long an entry that vanished around an outage of the store is still
-	// believed: its owner writes it again within two seconds of the return.
-	lapseGrace = 2200 * time.Millisecond
+	// believed: its owner writes it again soon after the return. A target that has left must
+	// not be used two seconds later.
+	lapseGrace = 1700 * time.Millisecond
+	// outageAge is the age of the last confirmation from which a failed call means an outage
+	// of the store; before, peers still follow it and only this host is not served.
+	outageAge = watchWait + 500*time.Millisecond
 )
 
 // Translator turns what the store holds into named objects.
@@ -74,7 +78,7 @@
 	targetRevision object.Revision
 	// mustList is set when the history from which to go on is gone.
 	mustList bool
-	// troubleAt is when the store last failed a call.
+	// troubleAt is when the store last failed a call while no peer could follow it either.
 	troubleAt time.Time
 
 	stop context.CancelFunc
@@ -134,6 +138,7 @@
 		if errors.Is(err, store.ErrCompacted) {
 			d.log.WithField("store-revision", d.followed()).Warn("History is gone, the store is listed again.")
 			d.compacted()
+			pause(ctx, minRetry)
 			continue
 		}
 		if available {
@@ -202,7 +207,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mustList = true
-	d.troubleAt = time.Now()
 }
 
 func pause(ctx context.Context, span time.Duration) {
@@ -212,10 +216,13 @@
 	}
 }
 
+// noteTrouble notes a failed call as an outage of the store unless peers follow it.
 func (d *Controller) noteTrouble() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.troubleAt = time.Now()
+	if time.Since(d.confirmedAt) > outageAge {
+		d.troubleAt = time.Now()
+	}
 }
 
 // replace takes a whole list of the store: keys that are not in it have been deleted.
--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -338,6 +338,37 @@
 	}
 }
 
+// TestHostThatAloneIsCutOffBelievesThatATargetHasGone replays a host that the store does not
+// serve while its peers follow it: what they say has gone must not be used any more.
+func TestHostThatAloneIsCutOffBelievesThatATargetHasGone(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		f.tree.fail(errors.New("cut off"))
+		for range 20 {
+			f.d.Nudge(member.Knowledge{Store: f.d.followed(), StoreAge: time.Second}, "http://peer")
+			time.Sleep(500 * time.Millisecond)
+		}
+		revision := f.d.followed() + 1
+		f.d.takePeer(Items{Revision: revision, Partial: true, Items: []store.Item{{Key: "targets/i-1", Revision: revision, Deleted: true}}}, "http://peer")
+		require.Empty(t, f.targets())
+	})
+}
+
+// TestTargetThatLeavesInACompactionIsGoneAtOnce lets a target leave while the history is
+// dropped.
+func TestTargetThatLeavesInACompactionIsGoneAtOnce(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		f.tree.mu.Lock()
+		f.tree.revision++
+		delete(f.tree.items, "targets/i-1")
+		f.tree.mu.Unlock()
+		f.tree.fail(store.ErrCompacted)
+		synctest.Wait()
+		f.tree.fail(nil)
+		time.Sleep(settleTime)
+		require.Empty(t, f.targets())
+	})
+}
+
 // TestTargetThatAPeerLostInAnOutageIsKept passes the outage of a peer on with its news.
 func TestTargetThatAPeerLostInAnOutageIsKept(t *testing.T) {
 	play(t, func(t *testing.T, f *fixture) {
