--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -197,22 +197,6 @@
 	loggedAt time.Time
 }
 
-// summaryInterval is the time between two log lines about a pool that is in use.
-const summaryInterval = time.Second
-
-func (w *worker) logSummary(now time.Time, s *Server, pool object.PoolName) {
-	if now.Sub(w.loggedAt) < summaryInterval {
-		return
-	}
-	w.loggedAt = now
-	sum := w.shard.Summary()
-	s.log.WithFields(logrus.Fields{
-		"pool": pool, "targets": sum.Targets, "open": sum.Open, "ready": sum.Ready, "failed": sum.Failed,
-		"slots": sum.Slots, "slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota,
-		"waiting": sum.Waiting, "running": sum.Running,
-	}).Info("Pool state.")
-}
-
 func newWorker(pool object.PoolName, quotas *shard.Quotas) *worker {
 	return &worker{
 		shard:    shard.New(pool, quotas),
@@ -314,6 +298,23 @@
 	}
 }
 
+// summaryInterval is the time between two log lines about a pool that is in use.
+const summaryInterval = time.Second
+
+// logSummary writes the state of a pool that is in use, once in a while.
+func (w *worker) logSummary(now time.Time, s *Server, pool object.PoolName) {
+	if now.Sub(w.loggedAt) < summaryInterval {
+		return
+	}
+	w.loggedAt = now
+	sum := w.shard.Summary()
+	s.log.WithFields(logrus.Fields{
+		"pool": pool, "targets": sum.Targets, "open": sum.Open, "ready": sum.Ready, "failed": sum.Failed,
+		"slots": sum.Slots, "slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota,
+		"waiting": sum.Waiting, "running": sum.Running,
+	}).Info("Pool state.")
+}
+
 // logRefusal writes what the decision rested on.
 func (w *worker) logRefusal(d shard.Refuse) {
 	if w.sessions[d.ID].session == nil {
