--- a/internal/control/catalog/catalog_test.go
+++ b/internal/control/catalog/catalog_test.go
@@ -252,3 +252,34 @@
 	require.Equal(t, object.Revision(1), b.Config().Revision)
 	require.False(t, errors.Is(ctx.Err(), context.DeadlineExceeded))
 }
+
+// lateWatch lets a change happen just before the first watch is created, after the follower
+// has read the store.
+type lateWatch struct {
+	store.KV
+	once   sync.Once
+	change func()
+}
+
+func (l *lateWatch) Watch(ctx context.Context, key string, changed func()) error {
+	l.once.Do(l.change)
+	return l.KV.Watch(ctx, key, changed)
+}
+
+func TestChangeBeforeTheWatchIsCreatedIsNotMissed(t *testing.T) {
+	c, _ := newCatalog(t)
+	kv := &lateWatch{KV: c.kv}
+	common := common.Discard()
+	common.Settings.Store.PollInterval = time.Hour
+	b := board.New(board.Member{Name: "entry-1"})
+	read := make(chan struct{})
+	kv.change = func() {
+		<-read // The first read has found nothing.
+		_, err := c.Publish(context.Background(), first(t))
+		require.NoError(t, err)
+	}
+	f := NewFollower(common, b, New(kv, "/test/"))
+	defer f.Close()
+	time.AfterFunc(200*time.Millisecond, func() { close(read) })
+	require.Eventually(t, func() bool { return b.Config() != nil }, 10*time.Second, 10*time.Millisecond)
+}
--- a/internal/platform/store/etcd.go
+++ b/internal/platform/store/etcd.go
@@ -120,6 +120,7 @@
 	}
 	watchResponse struct {
 		Result struct {
+			Created  bool              `json:"created"`
 			Canceled bool              `json:"canceled"`
 			Events   []json.RawMessage `json:"events"`
 		} `json:"result"`
@@ -262,7 +263,8 @@
 		if message.Result.Canceled {
 			return fmt.Errorf("%w: watch cancelled", ErrUnavailable)
 		}
-		if len(message.Result.Events) > 0 {
+		// What changed before the watch was created must be read once.
+		if message.Result.Created || len(message.Result.Events) > 0 {
 			changed()
 		}
 	}
