--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -63,6 +63,11 @@
 	return b.buffer.String()
 }
 
+// Start runs a program and keeps what it writes.
+func Start(name, program string, args ...string) (*Process, error) {
+	return start(name, nil, program, args...)
+}
+
 // start runs a program. If first is not nil, it receives the first line of the output.
 func start(name string, first chan<- string, program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, cmd: exec.Command(program, args...), done: make(chan struct{}), log: &lockedBuffer{}}
@@ -90,6 +95,9 @@
 // Signal sends a signal.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
 // Wait waits for the end of the process and returns its error.
 func (p *Process) Wait() error {
 	<-p.done
--- /dev/null
+++ b/internal/standin/proxy/proxy.go
@@ -0,0 +1,198 @@
+// Package proxy is a TCP forwarder on loopback that delays, silences, refuses and resets
+// the connections through it.
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Link is the state of the way through a proxy. The zero Link passes everything on.
+type Link struct {
+	// Delay is added to each piece of data.
+	Delay time.Duration
+	// SilentUp and SilentDown hold back the data from and to the side that dials.
+	SilentUp   bool
+	SilentDown bool
+	// Refused resets new connections.
+	Refused bool
+}
+
+// Proxy forwards connections to one address.
+type Proxy struct {
+	upstream string
+	listener net.Listener
+	done     sync.WaitGroup
+
+	mu      sync.Mutex
+	link    Link
+	changed chan struct{}
+	open    map[net.Conn]struct{}
+	closed  bool
+}
+
+// New listens on an address and forwards to upstream.
+func New(address, upstream string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", upstream, err)
+	}
+	p := &Proxy{upstream: upstream, listener: listener, changed: make(chan struct{}), open: map[net.Conn]struct{}{}}
+	p.done.Go(p.accept)
+	return p, nil
+}
+
+// Address returns the address on which the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the state of the way.
+func (p *Proxy) Set(link Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = link
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.open {
+		reset(conn)
+	}
+}
+
+// Close ends all connections and waits for them.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.mu.Unlock()
+	err := p.listener.Close()
+	p.Reset()
+	p.done.Wait()
+	return err
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Fails only on a connection that has ended.
+	}
+	_ = conn.Close() // Likewise.
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // The dialling side has gone already.
+		}
+		p.done.Go(func() { p.forward(conn) })
+	}
+}
+
+func (p *Proxy) forward(down net.Conn) {
+	defer down.Close()
+	if !p.add(down) {
+		reset(down)
+		return
+	}
+	defer p.remove(down)
+	up, err := net.Dial("tcp", p.upstream)
+	if err != nil {
+		reset(down)
+		return
+	}
+	defer up.Close()
+	if !p.add(up) {
+		reset(down)
+		return
+	}
+	defer p.remove(up)
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(up, down, func(l Link) bool { return l.SilentUp }) })
+	both.Go(func() { p.copy(down, up, func(l Link) bool { return l.SilentDown }) })
+	both.Wait()
+}
+
+// add remembers an open connection, unless connections are refused now.
+func (p *Proxy) add(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.link.Refused {
+		return false
+	}
+	p.open[conn] = struct{}{}
+	return true
+}
+
+func (p *Proxy) remove(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, conn)
+}
+
+const bufferBytes = 16 << 10
+
+// copy passes one direction on until it ends. A reset is passed on as a reset, an end as
+// an end.
+func (p *Proxy) copy(to, from net.Conn, silent func(Link) bool) {
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if !p.await(silent) {
+			return
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				reset(from)
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			closeWrite(to)
+			return
+		}
+		if err != nil {
+			reset(to)
+			return
+		}
+	}
+}
+
+func closeWrite(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite() // Fails only on a connection that has ended.
+	}
+}
+
+// await waits out the delay and the silence of a direction. It returns false if the proxy
+// was closed meanwhile.
+func (p *Proxy) await(silent func(Link) bool) bool {
+	p.mu.Lock()
+	delay := p.link.Delay
+	p.mu.Unlock()
+	time.Sleep(delay)
+	for {
+		p.mu.Lock()
+		held, changed, closed := silent(p.link), p.changed, p.closed
+		p.mu.Unlock()
+		if closed {
+			return false
+		}
+		if !held {
+			return true
+		}
+		<-changed
+	}
+}
--- /dev/null
+++ b/internal/standin/proxy/proxy_test.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn) // The test has closed its side.
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, p *Proxy) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", p.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func TestDataPassesAndSilenceHoldsItBack(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		link Link
+	}{
+		{"silent to the target", Link{SilentUp: true}},
+		{"silent from the target", Link{SilentDown: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p, err := New("127.0.0.1:0", echo(t))
+			require.NoError(t, err)
+			conn, reader := dial(t, p)
+			_, err = io.WriteString(conn, "one\n")
+			require.NoError(t, err)
+			line, err := reader.ReadString('\n')
+			require.NoError(t, err)
+			require.Equal(t, "one\n", line)
+
+			p.Set(test.link)
+			_, err = io.WriteString(conn, "two\n")
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+			_, err = reader.ReadString('\n')
+			require.ErrorContains(t, err, "timeout")
+
+			p.Set(Link{})
+			require.NoError(t, conn.SetReadDeadline(time.Time{}))
+			line, err = reader.ReadString('\n')
+			require.NoError(t, err)
+			require.Equal(t, "two\n", line)
+			require.NoError(t, p.Close())
+		})
+	}
+}
+
+func TestResetAndRefusal(t *testing.T) {
+	p, err := New("127.0.0.1:0", echo(t))
+	require.NoError(t, err)
+	conn, reader := dial(t, p)
+	_, err = io.WriteString(conn, "one\n")
+	require.NoError(t, err)
+	_, err = reader.ReadString('\n')
+	require.NoError(t, err)
+	p.Reset()
+	_, err = reader.ReadString('\n')
+	require.ErrorContains(t, err, "reset")
+
+	p.Set(Link{Refused: true})
+	_, reader = dial(t, p)
+	_, err = reader.ReadString('\n')
+	require.Error(t, err)
+	require.NoError(t, p.Close())
+}
