A repeated SIGTERM does not cut a planned stop short

A platform may repeat its signal. A SIGHUP or SIGTERM that came during the start ended the process at once, because signals were caught only after it.

Ruled out: a stop that took too long (the log ends with 'stop host: context canceled' 0.3 s after its begin).

Change: signals are caught before the start; only an interrupt from a terminal cuts the stop short.

Before: TestSignalThatIsRepeatedCutsNothing failed (EOF in place of the answer). After: it passes.

--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -74,8 +74,8 @@
 	)
 }
 
-// Run starts the host and waits for a signal, then stops it as planned. A second signal
-// ends the stop early.
+// Run starts the host and waits for a signal, then stops it as planned. An interrupt
+// during the stop ends it early.
 func Run(s *settings.Settings) error {
 	app := New(s)
 	if err := app.Err(); err != nil {
@@ -86,39 +86,43 @@
 
 // runApp starts an application, waits for a signal and stops it. SIGHUP calls reload.
 func runApp(app *fx.App, reload func()) error {
+	// A signal that comes during the start must not end the process at once.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for <-signals == syscall.SIGHUP {
 		reload()
 	}
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
-	go func() {
-		for {
-			select {
-			case s := <-signals:
-				if s == syscall.SIGHUP {
-					continue // There is nothing left to change.
-				}
-				cancelStop()
-				return
-			case <-stopCtx.Done():
-				return
-			}
-		}
-	}()
+	go cancelOnInterrupt(stopCtx, signals, cancelStop)
 	if err := app.Stop(stopCtx); err != nil {
 		return fmt.Errorf("stop host: %w", err)
 	}
 	return nil
 }
 
+// cancelOnInterrupt cuts a planned stop short when somebody at a terminal asks for it. A
+// platform may repeat its signal to stop; that changes nothing.
+func cancelOnInterrupt(ctx context.Context, signals <-chan os.Signal, cancel func()) {
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGINT {
+				cancel()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // metrics is the scope that parts write to and the page that shows it.
 type metrics struct {
 	fx.Out
