Quotas: what fronts remember caps what new arbiters grant

Each new arbiter granted a start level of its own without knowing what was granted before; requests that waited while the arbiter changed were charged by neither.

Change: each front keeps count of what its requests used, in steps of 0.5 s, and tells an arbiter before its first registration there. The arbiter adds what it did not grant itself and keeps the sum of each window inside rate, burst and 0.9 of the tolerated excess. What nobody can remember, because hosts started again, counts as used in full. With that bound new arbiters give the full burst at once. Waiting requests that move are charged by the arbiter that grants them.

--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -36,6 +36,7 @@
 	local   *front.Server
 	http    *http2.Client
 	tickets sync.Map // wire.RequestID to *Ticket.
+	usage   *usage
 
 	mu       sync.RWMutex
 	links    map[string]link // By URL of the peer listener.
@@ -57,6 +58,7 @@
 		http:     peers,
 		links:    map[string]link{},
 		suspects: map[string]time.Time{},
+		usage:    newUsage(),
 		ctx:      ctx,
 		stop:     stop,
 	}
@@ -85,6 +87,7 @@
 	first := t.current(t.createdAt, false)
 	t.link = l
 	c.tickets.Store(t.id, t)
+	c.usage.tell(l)
 	l.send(wire.Up{Register: &first})
 	t.mu.Unlock()
 	// The link may have failed before the ticket could be found.
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -33,6 +33,8 @@
 	deadline     time.Time
 	target       object.TargetName
 	link         link
+	// quotaCost is what the request will use of its quota, 0 once it was sent.
+	quotaCost float64
 
 	decision chan wire.Down // Holds the grant or refusal.
 	preempt  chan struct{}  // Closed when the arbiter cancels the request.
@@ -43,6 +45,7 @@
 		client:       c,
 		id:           r.ID,
 		registration: r,
+		quotaCost:    r.QuotaCost,
 		createdAt:    now,
 		decision:     make(chan wire.Down, 1),
 		preempt:      make(chan struct{}),
@@ -68,6 +71,8 @@
 		return false
 	}
 	t.phase = dispatched
+	t.client.usage.note(t.registration.Account, t.quotaCost)
+	t.quotaCost = 0 // A request counts once, however often it is sent.
 	return true
 }
 
@@ -83,8 +88,8 @@
 	if r.ObjectiveMS != 0 {
 		r.ObjectiveMS -= r.WaitedMS
 	}
-	if moved {
-		r.QuotaCost = 0 // The arbiter before has charged it.
+	if moved && t.phase != waiting {
+		r.QuotaCost = 0 // It counts in the use that the new arbiter is told.
 	}
 	r.Phase = wire.Waiting
 	if t.phase == granted || t.phase == dispatched {
@@ -221,5 +226,6 @@
 	}
 	t.link = to
 	r := t.current(time.Now(), true)
+	t.client.usage.tell(to)
 	to.send(wire.Up{Register: &r})
 }
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -161,9 +161,12 @@
 	now := time.Now()
 	switch {
 	case message.Register != nil:
+		message.Register.Front = s.host
 		s.server.worker(message.Register.Pool).register(now, s, *message.Register)
 	case message.Finish != nil:
 		s.server.worker(message.Finish.Pool).finish(now, s, *message.Finish)
+	case message.Used != nil:
+		s.server.quotas.Learn(now, s.host, *message.Used)
 	case message.Withdraw != nil:
 		s.server.worker(message.Withdraw.Pool).withdraw(now, s, message.Withdraw.ID)
 	}
@@ -174,6 +177,7 @@
 func (s *Session) Close() error {
 	now := time.Now()
 	s.server.attached.drop(s)
+	s.server.quotas.Forget(s.host)
 	for _, w := range s.server.all() {
 		w.drop(now, s)
 	}
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -51,6 +51,8 @@
 	// QuotaCost is what the request uses of the quota of its account; 0 for a request that
 	// was charged before.
 	QuotaCost float64 `json:"quota-cost,omitempty"`
+	// Front is the front that holds the request. The arbiter fills it in.
+	Front HostID `json:"-"`
 	// Zone is the availability zone of the front.
 	Zone object.Zone `json:"zone,omitempty"`
 	// Avoid are targets that the request was sent to before.
@@ -92,6 +94,23 @@
 	Pool object.PoolName `json:"pool"`
 }
 
+// Used tells an arbiter what the requests of a front have used of quotas lately. It comes
+// before the first registration at an arbiter, which may be new to the front.
+type Used struct {
+	// AgeMS is for how long the front has kept count.
+	AgeMS int64 `json:"age-ms"`
+	// StepMS is the length of the steps of the costs.
+	StepMS   int64         `json:"step-ms"`
+	Accounts []AccountUsed `json:"accounts,omitempty"`
+}
+
+// AccountUsed is what one account has used, in the unit of its quota.
+type AccountUsed struct {
+	Account object.AccountName `json:"account"`
+	// Costs are the uses by step, the newest first.
+	Costs []float64 `json:"costs"`
+}
+
 // Grant permits the front to dispatch a request to a target.
 type Grant struct {
 	Attempt int               `json:"attempt,omitempty"` // Of the registration.
@@ -119,6 +138,7 @@
 	Register *Register `json:"register,omitempty"`
 	Finish   *Finish   `json:"finish,omitempty"`
 	Withdraw *Withdraw `json:"withdraw,omitempty"`
+	Used     *Used     `json:"used,omitempty"`
 }
 
 // Down is one message from an arbiter to a front; one field is set, or none for a
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/object"
 )
 
@@ -11,12 +12,11 @@
 	// quotaMargin is the share by which an account may pass its rate, so that one inside
 	// its limit is not refused because its requests arrive bunched.
 	quotaMargin = 0.02
-	// startShare is the least share of the burst that a new arbiter assumes to be left. It
-	// does not know what its predecessor has granted.
-	startShare = 0.1
-	// toleranceShare is the part of the tolerated excess that is used; the rest covers what
-	// a change of arbiter may grant twice.
+	// toleranceShare is the part of the tolerated excess that is given out over time.
 	toleranceShare = 0.7
+	// windowShare is the part of the tolerated excess that one window may hold. The rest
+	// covers fronts that were lost and can no longer tell what they have used.
+	windowShare = 0.9
 )
 
 // bucket is a token bucket.
@@ -38,14 +38,25 @@
 	within, beyond bucket
 	// started is the highest share of the quota for which the start level was given.
 	started float64
+	// granted is what all fronts were granted lately, by this arbiter and by those before it,
+	// and fronts the part of each front in it.
+	granted *UseWindow
+	fronts  map[wire.HostID]*UseWindow
 }
 
-// startLevel returns what a new arbiter may grant at once: what is left of the tolerated
-// excess when its predecessor has used its part to the full.
-func startLevel(q *object.Quota) float64 {
-	rest := q.Tolerated() * (1 - toleranceShare)
-	rest -= q.PerSecond * quotaMargin * time.Duration(q.Window).Seconds()
-	return min(max(rest, q.Burst*startShare), q.Burst)
+func newQuotaUse(now time.Time) *quotaUse {
+	return &quotaUse{within: bucket{0, now}, beyond: bucket{0, now}, granted: NewUseWindow(now), fronts: map[wire.HostID]*UseWindow{}}
+}
+
+// note counts a grant to a front.
+func (u *quotaUse) note(at time.Time, front wire.HostID, cost float64) {
+	window := u.fronts[front]
+	if window == nil {
+		window = NewUseWindow(at)
+		u.fronts[front] = window
+	}
+	window.Add(at, cost)
+	u.granted.Add(at, cost)
 }
 
 // start gives the start level for a share that has grown. Fronts come to a new arbiter one
@@ -54,7 +65,7 @@
 	if share <= u.started {
 		return
 	}
-	u.within.level += (share - u.started) * startLevel(q)
+	u.within.level += (share - u.started) * q.Burst
 	u.started = share
 }
 
@@ -86,38 +97,149 @@
 type Quotas struct {
 	mu   sync.Mutex
 	uses map[object.AccountName]*quotaUse
+	// counting is since when each front has kept count of its use.
+	counting map[wire.HostID]time.Time
+	// servingSince and servedAt are the first and the last time that this arbiter granted
+	// anything without a long pause.
+	servingSince, servedAt time.Time
 }
 
 // NewQuotas creates quotas of which nothing is known to be used.
-func NewQuotas() *Quotas { return &Quotas{uses: map[object.AccountName]*quotaUse{}} }
+func NewQuotas() *Quotas {
+	return &Quotas{uses: map[object.AccountName]*quotaUse{}, counting: map[wire.HostID]time.Time{}}
+}
+
+// Learn adds what a front has used by the grants of other arbiters.
+func (q *Quotas) Learn(now time.Time, front wire.HostID, used wire.Used) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.counting[front] = now.Add(-time.Duration(used.AgeMS) * time.Millisecond)
+	step := time.Duration(used.StepMS) * time.Millisecond
+	q.prune(now)
+	for _, account := range used.Accounts {
+		use := q.use(now, account.Account)
+		known := 0.0
+		if window := use.fronts[front]; window != nil {
+			known = window.Sum(now, UseSpan)
+		}
+		use.learn(now, front, account.Costs, known, step)
+	}
+}
+
+// learn adds the part of a front's use that is not known yet.
+func (u *quotaUse) learn(now time.Time, front wire.HostID, costs []float64, known float64, step time.Duration) {
+	total := 0.0
+	for _, cost := range costs {
+		total += cost
+	}
+	if total <= known {
+		return
+	}
+	part := (total - known) / total
+	for age, cost := range costs {
+		u.note(now.Add(-time.Duration(age)*step), front, cost*part)
+	}
+}
+
+// prune forgets fronts that have used nothing for long.
+func (q *Quotas) prune(now time.Time) {
+	for _, use := range q.uses {
+		for front, window := range use.fronts {
+			if window.Sum(now, UseSpan) == 0 {
+				delete(use.fronts, front)
+			}
+		}
+	}
+}
 
-// take charges an account. share is this arbiter's part of the quota. If the account has
-// used it up, take returns the time after which it has enough.
-func (q *Quotas) take(now time.Time, name object.AccountName, quota *object.Quota, cost, share float64) (time.Duration, bool) {
+// Forget drops a front that is no longer served. What it was granted still counts.
+func (q *Quotas) Forget(front wire.HostID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	delete(q.counting, front)
+}
+
+func (q *Quotas) use(now time.Time, name object.AccountName) *quotaUse {
 	use := q.uses[name]
 	if use == nil {
-		use = &quotaUse{within: bucket{0, now}, beyond: bucket{0, now}}
+		use = newQuotaUse(now)
 		q.uses[name] = use
 	}
-	use.start(quota, share)
-	use.fill(now, quota, share)
+	return use
+}
+
+// charge is a request for a part of the quota of an account.
+type charge struct {
+	account object.AccountName
+	front   wire.HostID
+	cost    float64
+	// share is this arbiter's part of the quota.
+	share float64
+}
+
+// take charges an account. If the account has used its quota up, take returns the time
+// after which it has enough.
+func (q *Quotas) take(now time.Time, quota *object.Quota, c charge) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.noteServing(now, time.Duration(quota.Window))
+	use := q.use(now, c.account)
+	use.start(quota, c.share)
+	use.fill(now, quota, c.share)
+	if !q.windowHas(now, quota, use, c) {
+		return time.Duration(c.cost / (quota.PerSecond * c.share) * float64(time.Second)), false
+	}
 	// A request larger than the burst passes when the bucket is full.
-	need := min(cost, quota.Burst*share)
-	if use.take(cost, need) {
+	need := min(c.cost, quota.Burst*c.share)
+	if use.take(c.cost, need) {
+		use.note(now, c.front, c.cost)
 		return 0, true
 	}
 	missing := need - use.within.level
-	return time.Duration(missing / (quota.PerSecond * share) * float64(time.Second)), false
+	return time.Duration(missing / (quota.PerSecond * c.share) * float64(time.Second)), false
+}
+
+// noteServing remembers since when this arbiter has granted without a long pause.
+func (q *Quotas) noteServing(now time.Time, window time.Duration) {
+	if now.Sub(q.servedAt) > window {
+		q.servingSince = now
+	}
+	q.servedAt = now
+}
+
+// windowHas reports whether a grant keeps the account inside what is tolerated in one
+// window, with all that other arbiters have granted before.
+func (q *Quotas) windowHas(now time.Time, quota *object.Quota, use *quotaUse, c charge) bool {
+	window := time.Duration(quota.Window)
+	if window <= 0 || window > UseSpan {
+		return true
+	}
+	limit := quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*windowShare
+	used := use.granted.Sum(now, window) + limit*c.share*q.unknownPart(now, window)
+	return used+c.cost <= limit*c.share
+}
+
+// unknownPart returns which part of the use of the last window nobody remembers: that of
+// fronts that have started since, before this arbiter began to serve. It may have been all
+// that was allowed.
+func (q *Quotas) unknownPart(now time.Time, window time.Duration) float64 {
+	unknown := 0.0
+	for _, since := range q.counting {
+		if q.servingSince.Before(since) {
+			since = q.servingSince
+		}
+		unknown += max((window - now.Sub(since)).Seconds(), 0)
+	}
+	return unknown / window.Seconds() / float64(max(len(q.counting), 1))
 }
 
 // refund gives back what was charged for a request that did not run.
-func (q *Quotas) refund(name object.AccountName, cost float64) {
+func (q *Quotas) refund(now time.Time, name object.AccountName, front wire.HostID, cost float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if use := q.uses[name]; use != nil {
 		use.within.level += cost
+		use.note(now, front, -cost)
 	}
 }
 
@@ -128,7 +250,7 @@
 	if quota == nil || q.QuotaCost <= 0 {
 		return 0, true
 	}
-	wait, ok := s.quotas.take(now, q.Account, quota, q.QuotaCost, s.share.Quota)
+	wait, ok := s.quotas.take(now, quota, charge{account: q.Account, front: q.Front, cost: q.QuotaCost, share: s.share.Quota})
 	if ok {
 		q.charged = q.QuotaCost
 	}
@@ -136,9 +258,9 @@
 }
 
 // refundQuota gives back what a request was charged that did not run.
-func (s *Shard) refundQuota(q *request) {
+func (s *Shard) refundQuota(now time.Time, q *request) {
 	if q.charged > 0 {
-		s.quotas.refund(q.Account, q.charged)
+		s.quotas.refund(now, q.Account, q.Front, q.charged)
 	}
 	q.charged = 0
 }
--- /dev/null
+++ b/internal/pool/shard/quota_test.go
@@ -0,0 +1,181 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+)
+
+// quotaFronts are fronts whose requests use the quota of one account by way of arbiters that
+// come and go.
+type quotaFronts struct {
+	now    time.Time
+	quota  *object.Quota
+	quotas *Quotas
+	fronts []*quotaFront
+	used   float64
+}
+
+type quotaFront struct {
+	id    wire.HostID
+	since time.Time
+	use   *UseWindow
+}
+
+func newQuotaFronts(count int, quota *object.Quota) *quotaFronts {
+	f := &quotaFronts{now: time.Unix(1000, 0), quota: quota}
+	for i := range count {
+		f.fronts = append(f.fronts, &quotaFront{id: wire.HostID(fmt.Sprint("front-", i)), since: f.now.Add(-time.Minute), use: NewUseWindow(f.now)})
+	}
+	f.newArbiter()
+	return f
+}
+
+// newArbiter replaces the arbiter; all fronts tell the new one what they have used.
+func (f *quotaFronts) newArbiter() {
+	f.quotas = NewQuotas()
+	for _, front := range f.fronts {
+		f.tell(front)
+	}
+}
+
+func (f *quotaFronts) tell(front *quotaFront) {
+	used := wire.Used{AgeMS: f.now.Sub(front.since).Milliseconds(), StepMS: UseStep.Milliseconds()}
+	used.Accounts = []wire.AccountUsed{{Account: "a", Costs: front.use.Recent(f.now, UseSpan)}}
+	f.quotas.Learn(f.now, front.id, used)
+}
+
+// restart replaces a front by one that knows nothing.
+func (f *quotaFronts) restart(i int) {
+	f.quotas.Forget(f.fronts[i].id)
+	f.fronts[i] = &quotaFront{id: f.fronts[i].id + "+", since: f.now, use: NewUseWindow(f.now)}
+	f.tell(f.fronts[i])
+}
+
+// ask sends one request and reports whether it was granted.
+func (f *quotaFronts) ask(i int, cost float64) bool {
+	front := f.fronts[i%len(f.fronts)]
+	_, ok := f.quotas.take(f.now, f.quota, charge{account: "a", front: front.id, cost: cost, share: 1})
+	if ok {
+		front.use.Add(f.now, cost)
+		f.used += cost
+	}
+	return ok
+}
+
+// flood asks for all that is granted at a moment.
+func (f *quotaFronts) flood() {
+	for i := 0; f.ask(i, 5); i++ {
+	}
+}
+
+// TestNewArbitersKeepTheLimit lets an account use all that it is granted, while arbiters and
+// fronts come and go.
+func TestNewArbitersKeepTheLimit(t *testing.T) {
+	quota := &object.Quota{PerSecond: 1000, Burst: 1000, PlainTokens: 1, Window: object.Duration(8 * time.Second), Overage: 0.1, Slack: 500}
+	allowed := (1000*8+1000)*1.1 + 500.0
+	rows := []struct {
+		name string
+		// change is called every 10 ms with the number of the call.
+		change func(f *quotaFronts, tick int)
+	}{
+		{"one arbiter", func(*quotaFronts, int) {}},
+		{"a new arbiter each second", func(f *quotaFronts, tick int) {
+			if tick%100 == 50 {
+				f.newArbiter()
+			}
+		}},
+		{"two new arbiters at once", func(f *quotaFronts, tick int) {
+			if tick == 400 || tick == 410 {
+				f.newArbiter()
+			}
+		}},
+		{"links that open again", func(f *quotaFronts, tick int) {
+			if tick%30 == 0 {
+				f.tell(f.fronts[tick/30%len(f.fronts)])
+			}
+		}},
+		{"all hosts start again", func(f *quotaFronts, tick int) {
+			if tick != 500 {
+				return
+			}
+			for i := range f.fronts {
+				f.restart(i)
+			}
+			f.newArbiter()
+		}},
+		{"a front starts again", func(f *quotaFronts, tick int) {
+			if tick == 500 {
+				f.restart(0)
+			}
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := newQuotaFronts(4, quota)
+			var usedAt []float64
+			for tick := range 2400 {
+				row.change(f, tick)
+				f.flood()
+				usedAt = append(usedAt, f.used)
+				if tick >= 800 {
+					require.LessOrEqual(t, f.used-usedAt[tick-800], allowed, "in the 8 s before %d ms", tick*10)
+				}
+				f.now = f.now.Add(10 * time.Millisecond)
+			}
+			require.GreaterOrEqual(t, f.used, 24*1000*0.95, "an account gets its rate")
+		})
+	}
+}
+
+// TestAccountInsideItsLimitIsServedByNewArbiters sends what the quota allows, in bursts.
+func TestAccountInsideItsLimitIsServedByNewArbiters(t *testing.T) {
+	quota := &object.Quota{PerSecond: 1000, Burst: 1000, PlainTokens: 1, Window: object.Duration(8 * time.Second), Overage: 0.1, Slack: 500}
+	f := newQuotaFronts(4, quota)
+	for tick := range 2400 {
+		if tick%300 == 150 {
+			f.newArbiter()
+		}
+		if tick%50 == 0 { // Half a second's worth at once.
+			for i := range 10 {
+				require.True(t, f.ask(i, 50), "request %d at %d ms", i, tick*10)
+			}
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+}
+
+// TestAccountGetsItsRateAfterAllHostsStartedAgain: what was used before is unknown.
+func TestAccountGetsItsRateAfterAllHostsStartedAgain(t *testing.T) {
+	quota := &object.Quota{PerSecond: 1000, Burst: 1000, PlainTokens: 1, Window: object.Duration(8 * time.Second), Overage: 0.1, Slack: 500}
+	f := newQuotaFronts(4, quota)
+	for i := range f.fronts {
+		f.restart(i)
+	}
+	f.newArbiter()
+	refused := 0
+	for range 80 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		if !f.ask(0, 100) {
+			refused++
+		}
+	}
+	require.LessOrEqual(t, refused, 2)
+}
+
+func TestUseWindowForgetsWhatIsOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewUseWindow(now)
+	w.Add(now, 5)
+	w.Add(now.Add(time.Second), 7)
+	require.InDelta(t, 12, w.Sum(now.Add(time.Second), 8*time.Second), 0)
+	require.InDelta(t, 7, w.Sum(now.Add(9*time.Second), 8*time.Second), 0)
+	require.Zero(t, w.Sum(now.Add(time.Minute), 8*time.Second))
+	w.Add(now, 3)
+	require.Zero(t, w.Sum(now.Add(time.Minute), 8*time.Second), "a use from long ago")
+}
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -263,7 +263,7 @@
 		s.stopRunning(q)
 	} else {
 		s.dequeue(q)
-		s.refundQuota(q)
+		s.refundQuota(now, q)
 	}
 	s.forget(q)
 	return s.step(now)
@@ -407,7 +407,7 @@
 func (s *Shard) refuse(now time.Time, q *request, reason outcome.Reason) {
 	retryAfter := s.retryAfter(now, q)
 	s.dequeue(q)
-	s.refundQuota(q)
+	s.refundQuota(now, q)
 	s.forget(q)
 	s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Reason: reason, RetryAfter: retryAfter, Waited: now.Sub(q.queuedAt), Late: q.tier.late})
 }
