A refusal for a quota tells what it rested on

Change: the decision carries the account, the cost, what was left of the quota and of the tolerated excess, and what the last window holds; the log line prints them.

Before: the cause of such a refusal could not be told from the logs.

--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -325,7 +325,14 @@
 		return
 	}
 	sum := w.shard.Summary()
-	w.sessions[d.ID].session.server.log.WithFields(logrus.Fields{
+	log := w.sessions[d.ID].session.server.log
+	if d.Quota != nil {
+		log = log.WithFields(logrus.Fields{
+			"account": d.Quota.Account, "quota-cost": d.Quota.Cost, "quota-left": d.Quota.Within, "excess-left": d.Quota.Beyond,
+			"window-used": d.Quota.Used, "window-limit": d.Quota.Limit,
+		})
+	}
+	log.WithFields(logrus.Fields{
 		"request": d.ID, "tier": d.Tier, "reason": d.Reason, "retry-after": d.RetryAfter.String(),
 		"waited-ms": d.Waited.Milliseconds(), "late": d.Late, "ready": sum.Ready, "failed": sum.Failed, "slots": sum.Slots,
 		"slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota, "waiting": sum.Waiting, "running": sum.Running,
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -31,6 +31,21 @@
 	// for its objective.
 	Waited time.Duration
 	Late   bool
+	// Quota is set if the account has used up its quota.
+	Quota *QuotaState
+}
+
+// QuotaState is what a refusal for a quota rested on, in the unit of the quota.
+type QuotaState struct {
+	Account object.AccountName
+	// Cost is what the request would have used.
+	Cost float64
+	// Within and Beyond are what was left at that moment of the quota and of the tolerated
+	// excess.
+	Within, Beyond float64
+	// Used is what the account has used in the last window, with the part that nobody
+	// remembers, and Limit what it may.
+	Used, Limit float64
 }
 
 // Cancel stops a running request so that a higher tier gets its slot.
--- a/internal/pool/shard/platform_test.go
+++ b/internal/pool/shard/platform_test.go
@@ -178,8 +178,12 @@
 	b.advance(10 * time.Second)
 	_, decisions := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 100 })
 	require.Len(t, granted(decisions), 1)
-	_, ok := other.takeQuota(b.now, &request{Register: wire.Register{Account: "metered", QuotaCost: 100}})
-	require.False(t, ok)
+	state, wait := other.takeQuota(b.now, &request{Register: wire.Register{Account: "metered", QuotaCost: 100}})
+	require.NotNil(t, state)
+	require.Equal(t, object.AccountName("metered"), state.Account)
+	require.InDelta(t, 100, state.Cost, 0)
+	require.Less(t, state.Within, 100.0)
+	require.Positive(t, wait)
 }
 
 func TestQuotaOfARequestThatDidNotRunIsGivenBack(t *testing.T) {
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -177,26 +177,29 @@
 	share float64
 }
 
-// take charges an account. If the account has used its quota up, take returns the time
-// after which it has enough.
-func (q *Quotas) take(now time.Time, quota *object.Quota, c charge) (time.Duration, bool) {
+// take charges an account. If the account has used its quota up, take returns what was
+// left and the time after which it has enough.
+func (q *Quotas) take(now time.Time, quota *object.Quota, c charge) (*QuotaState, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.noteServing(now, time.Duration(quota.Window))
 	use := q.use(now, c.account)
 	use.start(quota, c.share)
 	use.fill(now, quota, c.share)
-	if !q.windowHas(now, quota, use, c) {
-		return time.Duration(c.cost / (quota.PerSecond * c.share) * float64(time.Second)), false
-	}
 	// A request larger than the burst passes when the bucket is full.
 	need := min(c.cost, quota.Burst*c.share)
-	if use.take(c.cost, need) {
+	used, limit := q.window(now, quota, use, c.share)
+	fits := limit == 0 || used+c.cost <= limit
+	if fits && use.take(c.cost, need) {
 		use.note(now, c.front, c.cost)
-		return 0, true
+		return nil, 0
 	}
 	missing := need - use.within.level
-	return time.Duration(missing / (quota.PerSecond * c.share) * float64(time.Second)), false
+	if !fits {
+		missing = max(missing, c.cost)
+	}
+	wait := time.Duration(missing / (quota.PerSecond * c.share) * float64(time.Second))
+	return &QuotaState{Account: c.account, Cost: c.cost, Within: use.within.level, Beyond: use.beyond.level, Used: used, Limit: limit}, wait
 }
 
 // noteServing remembers since when this arbiter has granted without a long pause.
@@ -207,16 +210,15 @@
 	q.servedAt = now
 }
 
-// windowHas reports whether a grant keeps the account inside what is tolerated in one
-// window, with all that other arbiters have granted before.
-func (q *Quotas) windowHas(now time.Time, quota *object.Quota, use *quotaUse, c charge) bool {
+// window returns what the account has used in the last window, with all that other
+// arbiters have granted before, and what it may. The limit is 0 if there is none.
+func (q *Quotas) window(now time.Time, quota *object.Quota, use *quotaUse, share float64) (used, limit float64) {
 	window := time.Duration(quota.Window)
 	if window <= 0 || window > UseSpan {
-		return true
+		return 0, 0
 	}
-	limit := quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*windowShare
-	used := use.granted.Sum(now, window) + limit*c.share*q.unknownPart(now, window)
-	return used+c.cost <= limit*c.share
+	limit = share * (quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*windowShare)
+	return use.granted.Sum(now, window) + limit*q.unknownPart(now, window), limit
 }
 
 // unknownPart returns which part of the use of the last window nobody remembers: that of
@@ -244,17 +246,17 @@
 }
 
 // takeQuota charges a request to its account. If the account has used up its quota, it
-// returns the time after which it has enough.
-func (s *Shard) takeQuota(now time.Time, q *request) (time.Duration, bool) {
+// returns what was left and the time after which it has enough.
+func (s *Shard) takeQuota(now time.Time, q *request) (*QuotaState, time.Duration) {
 	quota := s.quota(q.Account)
 	if quota == nil || q.QuotaCost <= 0 {
-		return 0, true
+		return nil, 0
 	}
-	wait, ok := s.quotas.take(now, quota, charge{account: q.Account, front: q.Front, cost: q.QuotaCost, share: s.share.Quota})
-	if ok {
+	state, wait := s.quotas.take(now, quota, charge{account: q.Account, front: q.Front, cost: q.QuotaCost, share: s.share.Quota})
+	if state == nil {
 		q.charged = q.QuotaCost
 	}
-	return wait, ok
+	return state, wait
 }
 
 // refundQuota gives back what a request was charged that did not run.
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -60,12 +60,12 @@
 // ask sends one request and reports whether it was granted.
 func (f *quotaFronts) ask(i int, cost float64) bool {
 	front := f.fronts[i%len(f.fronts)]
-	_, ok := f.quotas.take(f.now, f.quota, charge{account: "a", front: front.id, cost: cost, share: 1})
-	if ok {
+	state, _ := f.quotas.take(f.now, f.quota, charge{account: "a", front: front.id, cost: cost, share: 1})
+	if state == nil {
 		front.use.Add(f.now, cost)
 		f.used += cost
 	}
-	return ok
+	return state == nil
 }
 
 // flood asks for all that is granted at a moment.
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -176,9 +176,11 @@
 // admit queues a new request, or refuses it or one that ranks below it.
 func (s *Shard) admit(now time.Time, q *request) {
 	s.requests[q.ID] = q
-	if wait, ok := s.takeQuota(now, q); !ok {
+	if state, wait := s.takeQuota(now, q); state != nil {
 		s.forget(q)
-		s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Reason: outcome.AccountLimit, RetryAfter: s.returnAfter(now, q, max(wait, minRetryAfter))})
+		s.decisions = append(s.decisions, Refuse{
+			ID: q.ID, Tier: q.tier.name, Reason: outcome.AccountLimit, RetryAfter: s.returnAfter(now, q, max(wait, minRetryAfter)), Quota: state,
+		})
 		return
 	}
 	s.enqueue(q)
