Quotas: the tolerated excess can be used at once

That half guarded the window, which its own sum does now.

Ruled out: the arbiter's share (1), waiting requests (none), slots (free).

The test of quotas shared by pools now uses the excess up, too.

--- a/internal/pool/shard/platform_test.go
+++ b/internal/pool/shard/platform_test.go
@@ -176,8 +176,10 @@
 	other.Configure(b.now, b.shard.snapshot, nil)
 	b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 1 })
 	b.advance(10 * time.Second)
-	_, decisions := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 100 })
-	require.Len(t, granted(decisions), 1)
+	for _, cost := range []float64{100, 165} { // The burst, and most of the tolerated excess.
+		_, decisions := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = cost })
+		require.Len(t, granted(decisions), 1)
+	}
 	state, wait := other.takeQuota(b.now, &request{Register: wire.Register{Account: "metered", QuotaCost: 100}})
 	require.NotNil(t, state)
 	require.Equal(t, object.AccountName("metered"), state.Account)
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -13,7 +13,7 @@
 	// its limit is not refused because its requests arrive bunched.
 	quotaMargin = 0.02
 	// toleranceShare is the part of the tolerated excess that is given out over time.
-	toleranceShare = 0.7
+	toleranceShare = 0.9
 	// windowShare is the part of the tolerated excess that one window may hold. The rest
 	// covers fronts that were lost and can no longer tell what they have used.
 	windowShare = 0.9
@@ -69,11 +69,11 @@
 	u.started = share
 }
 
-// fill brings both buckets to the present. Half of the tolerated excess can be used at
-// once, the other half comes back over the window, so that no window gets more than all.
+// fill brings both buckets to the present. The tolerated excess can be used at once and
+// comes back over the window; the sum of each window bounds both.
 func (u *quotaUse) fill(now time.Time, q *object.Quota, share float64) {
 	u.within.fill(now, q.PerSecond*(1+quotaMargin)*share, q.Burst*share)
-	excess := q.Tolerated() * toleranceShare * share / 2
+	excess := q.Tolerated() * toleranceShare * share
 	if q.Window > 0 {
 		u.beyond.fill(now, excess/time.Duration(q.Window).Seconds(), excess)
 	}
