Fronts tell an arbiter when their requests go elsewhere

An arbiter counted a front for three seconds after its last request, while the next one counted it, too; a request that was granted and not yet sent when the arbiter changed was known to neither.

Ruled out: the check (each request once, by arrival), delays at targets (none in the plan).

Change: before its first request at another arbiter a front says that it leaves; use counts from the grant, not from the dispatch.

--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -87,7 +87,7 @@
 	first := t.current(t.createdAt, false)
 	t.link = l
 	c.tickets.Store(t.id, t)
-	c.usage.tell(l)
+	c.tellUse(r.Pool, l)
 	l.send(wire.Up{Register: &first})
 	t.mu.Unlock()
 	// The link may have failed before the ticket could be found.
@@ -97,6 +97,14 @@
 	return t
 }
 
+// tellUse tells the arbiter of the pools that share quotas what this front has used, when
+// its requests begin to go there.
+func (c *Client) tellUse(pool object.PoolName, l link) {
+	if config := c.board.Config(); config != nil && config.Pool(pool) != nil && config.Pool(pool).Discovered {
+		c.usage.tell(l)
+	}
+}
+
 // Wait returns the target that was granted. On an error the ticket has ended without
 // being dispatched.
 func (c *Client) Wait(ctx context.Context, t *Ticket) (object.TargetName, error) {
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -33,7 +33,7 @@
 	deadline     time.Time
 	target       object.TargetName
 	link         link
-	// quotaCost is what the request will use of its quota, 0 once it was sent.
+	// quotaCost is what the request will use of its quota, 0 once it was granted.
 	quotaCost float64
 
 	decision chan wire.Down // Holds the grant or refusal.
@@ -71,8 +71,6 @@
 		return false
 	}
 	t.phase = dispatched
-	t.client.usage.note(t.registration.Account, t.quotaCost)
-	t.quotaCost = 0 // A request counts once, however often it is sent.
 	return true
 }
 
@@ -110,6 +108,8 @@
 	}
 	t.phase = granted
 	t.target = g.Target
+	t.client.usage.note(t.registration.Account, t.quotaCost)
+	t.quotaCost = 0 // A request counts once, however often it is granted.
 	t.decision <- wire.Down{Grant: g}
 	return true
 }
@@ -226,6 +226,6 @@
 	}
 	t.link = to
 	r := t.current(time.Now(), true)
-	t.client.usage.tell(to)
+	t.client.tellUse(pool, to)
 	to.send(wire.Up{Register: &r})
 }
--- a/internal/peer/arbiter/ticket_test.go
+++ b/internal/peer/arbiter/ticket_test.go
@@ -40,7 +40,7 @@
 
 // newTestTicket returns a waiting ticket that is registered over a fake link.
 func newTestTicket() (*Client, *Ticket, *fakeLink) {
-	c := &Client{usage: newUsage(), common: common.Discard()}
+	c := &Client{usage: newUsage(), board: board.New(board.Member{}), common: common.Discard()}
 	l := &fakeLink{}
 	t := newTicket(c, wire.Register{ID: "r-1", Pool: "layout"}, time.Now())
 	t.link = l
--- a/internal/peer/arbiter/usage.go
+++ b/internal/peer/arbiter/usage.go
@@ -24,7 +24,7 @@
 	return &usage{since: time.Now(), accounts: map[object.AccountName]*shard.UseWindow{}}
 }
 
-// note counts a request that is sent to a target.
+// note counts a request that was granted.
 func (u *usage) note(account object.AccountName, cost float64) {
 	if cost <= 0 {
 		return
@@ -39,13 +39,17 @@
 	window.Add(time.Now(), cost)
 }
 
-// tell sends the use to an arbiter to which requests go from now on.
+// tell sends the use to an arbiter to which requests go from now on, and tells the one
+// before that they do.
 func (u *usage) tell(l link) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.told == l {
 		return
 	}
+	if u.told != nil && !u.told.failed() {
+		u.told.send(wire.Up{Left: true})
+	}
 	u.told = l
 	now := time.Now()
 	used := &wire.Used{AgeMS: now.Sub(u.since).Milliseconds(), StepMS: shard.UseStep.Milliseconds()}
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -167,6 +167,9 @@
 		s.server.worker(message.Finish.Pool).finish(now, s, *message.Finish)
 	case message.Used != nil:
 		s.server.quotas.Learn(now, s.host, *message.Used)
+	case message.Left:
+		s.server.attached.drop(s)
+		s.server.quotas.Forget(s.host)
 	case message.Withdraw != nil:
 		s.server.worker(message.Withdraw.Pool).withdraw(now, s, message.Withdraw.ID)
 	}
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -139,6 +139,8 @@
 	Finish   *Finish   `json:"finish,omitempty"`
 	Withdraw *Withdraw `json:"withdraw,omitempty"`
 	Used     *Used     `json:"used,omitempty"`
+	// Left says that the new requests of the front go to another arbiter from now on.
+	Left bool `json:"left,omitempty"`
 }
 
 // Down is one message from an arbiter to a front; one field is set, or none for a
