An arbiter that is used again counts the latest use of its fronts

The arbiter took what it had not granted itself for a part of each of the last twenty seconds, most of it outside the window.

Ruled out: two arbiters that count the same fronts (their shares were 0.75 and 0.25), lost fronts (none).

Change: what is not known yet counts as the latest part of the use.

Before: the new row of TestNewArbitersKeepTheLimit failed (10,970 of 10,400).

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -126,18 +126,19 @@
 	}
 }
 
-// learn adds the part of a front's use that is not known yet.
+// learn adds the part of a front's use that is not known yet. It counts as the latest part,
+// because a front goes elsewhere and comes back.
 func (u *quotaUse) learn(now time.Time, front wire.HostID, costs []float64, known float64, step time.Duration) {
-	total := 0.0
+	missing := -known
 	for _, cost := range costs {
-		total += cost
+		missing += cost
 	}
-	if total <= known {
-		return
-	}
-	part := (total - known) / total
 	for age, cost := range costs {
-		u.note(now.Add(-time.Duration(age)*step), front, cost*part)
+		if missing <= 0 {
+			return
+		}
+		u.note(now.Add(-time.Duration(age)*step), front, min(cost, missing))
+		missing -= cost
 	}
 }
 
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -17,6 +17,8 @@
 	now    time.Time
 	quota  *object.Quota
 	quotas *Quotas
+	// former is an arbiter that is not in use now.
+	former *Quotas
 	fronts []*quotaFront
 	used   float64
 }
@@ -100,6 +102,18 @@
 				f.tell(f.fronts[tick/30%len(f.fronts)])
 			}
 		}},
+		{"the arbiter is cut off and comes back", func(f *quotaFronts, tick int) {
+			switch tick {
+			case 1000:
+				f.former = f.quotas
+				f.newArbiter()
+			case 1200:
+				f.quotas = f.former
+				for _, front := range f.fronts {
+					f.tell(front)
+				}
+			}
+		}},
 		{"all hosts start again", func(f *quotaFronts, tick int) {
 			if tick != 500 {
 				return
