Late requests leave room for those in time

Slots are blocked for a while by the need of more urgent classes; then late streams take all that comes free and hold it for 1.5 s, and those that arrive next are late, too.

Ruled out: the order (requests in time go first), several attempts (all have one), targets (first token after 60 to 90 ms).

Change: within a class, late requests may use what the running and waiting requests in time leave, 1.15 fold, as classes do among each other.

--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -16,12 +16,26 @@
 	minClassShare = 0.15
 )
 
-// demand follows how many slots the requests of one class need: those that run and those
-// that wait in time for their objective.
+// rank orders the requests that a reserve is kept for: by class, and within a class those in
+// time for their objective before the late ones.
+type rank struct {
+	class int // Its priority.
+	late  bool
+}
+
+// above reports whether room is kept for requests of this rank from those of the other.
+func (r rank) above(other rank) bool {
+	return r.class > other.class || r.class == other.class && !r.late && other.late
+}
+
+func (t *tierQueue) rank() rank { return rank{t.classPriority, t.late} }
+
+// demand follows how many slots the requests of one rank need: those that run and, while
+// they are in time, those that wait.
 type demand struct {
-	priority int // Of the class.
-	slots    float64
-	at       time.Time
+	rank  rank
+	slots float64
+	at    time.Time
 }
 
 func (d *demand) follow(now time.Time, current float64) {
@@ -34,30 +48,30 @@
 	d.at = now
 }
 
-// demandOf returns the demand of the classes with a priority.
-func (s *Shard) demandOf(now time.Time, priority int) *demand {
+// demandOf returns the demand of a rank.
+func (s *Shard) demandOf(now time.Time, r rank) *demand {
 	for _, d := range s.demands {
-		if d.priority == priority {
+		if d.rank == r {
 			return d
 		}
 	}
-	d := &demand{priority: priority, at: now}
+	d := &demand{rank: r, at: now}
 	s.demands = append(s.demands, d)
 	return d
 }
 
-// followDemand brings the demands of all classes to the present.
+// followDemand brings the demands of all ranks to the present.
 func (s *Shard) followDemand(now time.Time) {
 	if !s.runToEnd {
 		return
 	}
 	for _, t := range s.tiers {
-		s.demandOf(now, t.classPriority)
+		s.demandOf(now, t.rank())
 	}
 	for _, d := range s.demands {
 		current := 0
 		for _, t := range s.tiers {
-			if t.classPriority != d.priority {
+			if t.rank() != d.rank {
 				continue
 			}
 			current += len(t.running)
@@ -69,18 +83,19 @@
 	}
 }
 
-// reserved reports whether the free slots are kept for classes that are more urgent than
-// that of the queue: together with all that is no more urgent, it uses up what is left beside
-// their need. This holds for all accounts, because work of the least urgent class can hold a
-// slot many times as long as the most urgent.
+// reserved reports whether the free slots are kept for requests that rank above those of the
+// queue: together with all that rank no higher, it uses up what is left beside their need.
+// This holds for all accounts, because work of the least urgent class can hold a slot many
+// times as long as the most urgent, and a late request as long as one that is in time.
 func (s *Shard) reserved(tier *tierQueue) bool {
 	if !s.runToEnd {
 		return false // Slots are taken back from less urgent work when they are needed.
 	}
 	budget := s.totalSlots * s.share.Slots
+	own := tier.rank()
 	need := 0.0
 	for _, d := range s.demands {
-		if d.priority > tier.classPriority {
+		if d.rank.above(own) {
 			need += d.slots
 		}
 	}
@@ -89,10 +104,14 @@
 	}
 	running := 0
 	for _, t := range s.tiers {
-		if t.classPriority <= tier.classPriority {
+		if !t.rank().above(own) {
 			running += len(t.running)
 		}
 	}
-	limit := max(budget-need*reserveMargin, budget*minClassShare, 1)
+	least := budget * minClassShare
+	if tier.late {
+		least = 0
+	}
+	limit := max(budget-need*reserveMargin, least, 1)
 	return float64(running) >= limit
 }
--- /dev/null
+++ b/internal/pool/shard/reserve_test.go
@@ -0,0 +1,188 @@
+package shard
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+)
+
+// stream is a kind of request of a replayed load.
+type stream struct {
+	class object.TierName
+	// perSecond is its rate and lasts how long each request holds a slot.
+	perSecond float64
+	lasts     time.Duration
+	objective time.Duration
+	// burst multiplies the rate from burstFrom to burstTo.
+	burst              float64
+	burstFrom, burstTo time.Duration
+	// wave doubles the rate for this time, then stops the stream for as long.
+	wave time.Duration
+}
+
+// rate returns the rate at a time.
+func (s *stream) rate(at time.Duration) float64 {
+	switch {
+	case s.wave > 0 && at/s.wave%2 == 0:
+		return 2 * s.perSecond
+	case s.wave > 0:
+		return 0
+	case at >= s.burstFrom && at < s.burstTo:
+		return s.burst * s.perSecond
+	}
+	return s.perSecond
+}
+
+// start is one request of a replayed load.
+type start struct {
+	class   object.TierName
+	arrived time.Duration
+	// waited is the time until its grant, and late is set if that was past its objective or
+	// never.
+	waited time.Duration
+	late   bool
+}
+
+// player plays a load against a pool. Callers that are refused come back once, when
+// they were told to.
+type player struct {
+	*bench
+	began    time.Time
+	requests map[wire.RequestID]*visit
+	ends     map[time.Duration][]wire.RequestID
+	returns  map[time.Duration][]*visit
+	all      []*visit
+}
+
+// visit is one request of a caller.
+type visit struct {
+	start
+	stream   stream
+	returned bool
+}
+
+// tick is the resolution of a replayed load.
+const tick = 5 * time.Millisecond
+
+func (p *player) now() time.Duration { return p.bench.now.Sub(p.began) }
+
+func (p *player) ask(v *visit) {
+	id, decisions := p.bench.ask(v.class, func(w *wire.Register) {
+		w.ObjectiveMS = max((v.stream.objective*7/10 - (p.now() - v.arrived)).Milliseconds(), 1)
+		w.MaxWaitMS = 1700
+		w.MayReturn = !v.returned
+		w.DeadlineMS = (15*time.Second - (p.now() - v.arrived)).Milliseconds()
+	})
+	p.requests[id] = v
+	p.note(decisions)
+}
+
+func (p *player) note(decisions []Decision) {
+	for _, d := range decisions {
+		switch d := d.(type) {
+		case Grant:
+			v := p.requests[d.ID]
+			v.waited = p.now() - v.arrived
+			v.late = v.waited > v.stream.objective
+			end := (p.now() + v.stream.lasts).Truncate(tick)
+			p.ends[end] = append(p.ends[end], d.ID)
+		case Refuse:
+			if v := p.requests[d.ID]; !v.returned {
+				v.returned = true
+				at := (p.now() + d.RetryAfter).Truncate(tick)
+				p.returns[at] = append(p.returns[at], v)
+			}
+		}
+	}
+}
+
+// replay plays streams of requests and returns what became of each request.
+func replay(b *bench, streams []stream, lasting time.Duration) []*visit {
+	random := rand.New(rand.NewPCG(1, 2))
+	p := &player{bench: b, began: b.now, requests: map[wire.RequestID]*visit{}, ends: map[time.Duration][]wire.RequestID{}, returns: map[time.Duration][]*visit{}}
+	for at := time.Duration(0); at < lasting; at += tick {
+		for _, id := range p.ends[at] {
+			p.note(p.finish(id))
+		}
+		for _, v := range p.returns[at] {
+			p.ask(v)
+		}
+		for _, s := range streams {
+			if random.Float64() < s.rate(at)*tick.Seconds() {
+				v := &visit{start: start{class: s.class, arrived: at, late: true}, stream: s}
+				p.all = append(p.all, v)
+				p.ask(v)
+			}
+		}
+		p.note(p.advance(tick))
+	}
+	return p.all
+}
+
+// medianWait returns the median wait of the requests of a class that arrived in a span.
+func medianWait(starts []*visit, class object.TierName, from, to time.Duration) time.Duration {
+	var waits []time.Duration
+	for _, s := range starts {
+		if s.class == class && s.arrived >= from && s.arrived < to {
+			waits = append(waits, s.waited)
+		}
+	}
+	slices.Sort(waits)
+	return waits[len(waits)/2]
+}
+
+// TestBacklogOfLateRequestsDissolves replays a burst of long, least urgent streams. Their
+// backlog must not keep those late that come after it: within two seconds most requests
+// start within their objective again.
+func TestBacklogOfLateRequestsDissolves(t *testing.T) {
+	b := newDiscoveredBench(t, 10, 10)
+	starts := replay(b, []stream{
+		{class: "first", perSecond: 60, lasts: 400 * time.Millisecond, objective: 500 * time.Millisecond, wave: time.Second},
+		{class: "third", perSecond: 33, lasts: 1500 * time.Millisecond, objective: 300 * time.Millisecond, burst: 2.3, burstFrom: 3 * time.Second, burstTo: 9 * time.Second},
+	}, 20*time.Second)
+	late, count := 0, 0
+	for _, s := range starts {
+		if s.class == "third" && s.arrived >= 11*time.Second && s.arrived < 16*time.Second {
+			count++
+			if s.late {
+				late++
+			}
+		}
+	}
+	require.Less(t, late*2, count)
+	require.LessOrEqual(t, medianWait(starts, "third", 11*time.Second, 16*time.Second), 300*time.Millisecond)
+	require.LessOrEqual(t, medianWait(starts, "first", 3*time.Second, 9*time.Second), 100*time.Millisecond)
+}
+
+// TestLateWorkLeavesRoomForWorkInTime registers late requests beside running ones of the same
+// class that are in time: more of those will come, and each is worth more.
+func TestLateWorkLeavesRoomForWorkInTime(t *testing.T) {
+	b := newDiscoveredBench(t, 10, 10)
+	ask := func(objectiveMS int64) int {
+		_, decisions := b.ask("third", func(r *wire.Register) { r.ObjectiveMS = objectiveMS; r.MaxWaitMS = 60_000 })
+		return len(granted(decisions))
+	}
+	for range 40 {
+		require.Equal(t, 1, ask(300))
+	}
+	b.advance(2 * time.Second) // The demand of requests in time is known now.
+	b.shard.SetShare(b.now, Share{Slots: 0.01, Quota: 1}) // Nothing starts for a while.
+	for range 100 {
+		require.Zero(t, ask(1))
+	}
+	b.advance(10 * time.Millisecond)
+	late := len(granted(b.shard.SetShare(b.now, Share{Slots: 1, Quota: 1})))
+	require.LessOrEqual(t, late, 54, "100 slots less 1.15 times 40")
+	require.GreaterOrEqual(t, late, 48, "slots are not left idle")
+	inTime := 0
+	for range 10 {
+		inTime += ask(300)
+	}
+	require.GreaterOrEqual(t, inTime, 6, "the rest is for requests in time")
+}
