Requests that come back rank as in time for half of their objective

Cause: a request that was refused and comes back when it was told to is late, and ranked behind all that are in time. Refused again, it is lost with all that its caller has waited.

Change: a request that came back ranks as in time for half of its objective.

TestRequestThatComesBackRanksAsInTimeForAWhile: the rows for requests that came back are new behaviour.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -180,8 +180,7 @@
 	if r.route.Objective > 0 {
 		objective := time.Duration(r.route.Objective)
 		before := s.patience.waitedBefore(r.route.Name, r.demand.Left)
-		left := objective - before - time.Since(r.arrived)
-		w.ObjectiveMS = max(left.Milliseconds()*startShareMax/100, 1)
+		w.ObjectiveMS = startWithin(objective, before, time.Since(r.arrived)).Milliseconds()
 		w.MaxWaitMS = maxWait(r, objective).Milliseconds()
 		w.MayReturn = before < objective && time.Until(r.deadline) > returnObjectives*objective
 	}
@@ -199,9 +198,25 @@
 	return w
 }
 
-// startShareMax is the part of the objective, in percent, that may pass before a request
-// is sent; the rest is for the target to begin its answer.
-const startShareMax = 70
+const (
+	// startShareMax is the part of the objective, in percent, that may pass before a request
+	// is sent; the rest is for the target to begin its answer.
+	startShareMax = 70
+	// returnedPart is the part of the objective for which a request that came back ranks as
+	// one in time. It was told when to come, and what it has waited already is lost if it is
+	// refused again.
+	returnedPart = 2
+)
+
+// startWithin returns how soon a request should be sent to be answered in time. before is
+// how long its caller has waited before this request, and waited how long since.
+func startWithin(objective, before, waited time.Duration) time.Duration {
+	left := objective - before
+	if before > 0 {
+		left = max(left, objective/returnedPart)
+	}
+	return max((left-waited)*startShareMax/100, time.Millisecond)
+}
 
 // maxWait bounds how long a request waits for a target. Callers leave a stream whose first
 // event does not come within two seconds or four times the objective.
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -518,6 +518,27 @@
 	require.GreaterOrEqual(t, used, 100)
 }
 
+func TestRequestThatComesBackRanksAsInTimeForAWhile(t *testing.T) {
+	const objective = 400 * time.Millisecond
+	rows := []struct {
+		name           string
+		before, waited time.Duration
+		want           time.Duration
+	}{
+		{"first request", 0, 0, 280 * time.Millisecond},
+		{"first request that has waited", 0, 200 * time.Millisecond, 140 * time.Millisecond},
+		{"first request that is late", 0, time.Second, time.Millisecond},
+		{"came back in time", 100 * time.Millisecond, 0, 210 * time.Millisecond},
+		{"came back late", 2 * time.Second, 0, 140 * time.Millisecond},
+		{"came back late and has waited", 2 * time.Second, 300 * time.Millisecond, time.Millisecond},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			require.Equal(t, row.want, startWithin(objective, row.before, row.waited))
+		})
+	}
+}
+
 func TestPatienceKnowsASecondAttempt(t *testing.T) {
 	p := newPatience()
 	require.Zero(t, p.waitedBefore("r", 6*time.Second))
