--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"redwinglock/internal/bench/capacity"
 	"redwinglock/internal/bench/decisions"
+	"redwinglock/internal/bench/soak"
 )
 
 type capacityArguments struct {
@@ -23,7 +25,19 @@
 	Seeds int `arg:"--seeds" default:"3" help:"number of seeds"`
 }
 
+type soakArguments struct {
+	Seeds  int           `arg:"--seeds" default:"10" help:"number of seeds"`
+	First  uint64        `arg:"--first" help:"first seed; default: drawn from the clock"`
+	Jobs   int           `arg:"--jobs" default:"3" help:"seeds that run at the same time"`
+	Hosts  int           `arg:"--hosts" default:"4" help:"number of hosts"`
+	Faults int           `arg:"--faults" default:"14" help:"number of faults of a seed"`
+	Time   time.Duration `arg:"--time" default:"20s" help:"time in which faults begin"`
+	Failed bool          `arg:"--failed" help:"play the seeds that have failed before"`
+	Logs   string        `arg:"--logs" default:"soak-logs" help:"directory for the logs of failed seeds"`
+}
+
 type arguments struct {
+	Soak      *soakArguments      `arg:"subcommand:soak" help:"real processes under random faults"`
 	Capacity  *capacityArguments  `arg:"subcommand:capacity" help:"cost of each role, for docs/CAPACITY.md"`
 	Decisions *decisionsArguments `arg:"subcommand:decisions" help:"order, shares and placement under load"`
 }
@@ -37,6 +51,8 @@
 		err = runCapacity(args.Capacity)
 	case args.Decisions != nil:
 		err = runDecisions(args.Decisions)
+	case args.Soak != nil:
+		err = runSoak(args.Soak)
 	default:
 		parser.Fail("a subcommand is needed")
 	}
@@ -79,3 +95,27 @@
 	}
 	return nil
 }
+
+func runSoak(args *soakArguments) error {
+	first := args.First
+	if first == 0 {
+		first = uint64(time.Now().UnixNano())
+	}
+	seeds := make([]uint64, args.Seeds)
+	for i := range seeds {
+		seeds[i] = first + uint64(i)
+	}
+	if args.Failed {
+		seeds = soak.FailedSeeds()
+	}
+	failed, err := soak.RunAll(os.Stdout, seeds, args.Jobs, soak.Options{
+		Settings: "deploy/settings.yaml", Hosts: args.Hosts, Faults: args.Faults, Lasting: args.Time, Logs: args.Logs,
+	})
+	if err != nil {
+		return err
+	}
+	if failed > 0 {
+		return errMissed
+	}
+	return nil
+}
