Only work that holds its slots long leaves room for others

The second class holds a slot for 0.3 s; its slots come free often enough for the most urgent, so keeping room from it leaves slots idle.

Ruled out: targets that refuse or are paused (10 of 10 ready), the arbiter's share (1).

Change: room is kept only from requests that hold their slots more than twice as long as those that it is kept for can wait; both are learned.

--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -36,6 +36,46 @@
 	rank  rank
 	slots float64
 	at    time.Time
+	// holding is the mean time for which a request of the class holds its slot, and patience
+	// the mean time within which one in time should get it. Both are 0 if unknown; the
+	// demand of those in time keeps them for the whole class.
+	holding, patience time.Duration
+}
+
+const (
+	// meanWeight is the inverse weight of a new sample in a mean.
+	meanWeight = 16
+	// longHolding is the holding time, in patiences of other requests, from which these may
+	// have to wait too long for a slot to come free.
+	longHolding = 2
+)
+
+// mean returns a running mean with one sample more.
+func mean(before, sample time.Duration) time.Duration {
+	if before == 0 {
+		return sample
+	}
+	return before + (sample-before)/meanWeight
+}
+
+// noteArrival learns from a request that has just come.
+func (s *Shard) noteArrival(now time.Time, q *request) {
+	if q.lateAt.After(now) {
+		d := s.demandOf(now, rank{class: q.tier.classPriority})
+		d.patience = mean(d.patience, q.lateAt.Sub(now))
+	}
+}
+
+// noteEnd learns from a request that has run.
+func (s *Shard) noteEnd(now time.Time, q *request) {
+	d := s.demandOf(now, rank{class: q.tier.classPriority})
+	d.holding = mean(d.holding, now.Sub(q.grantedAt))
+}
+
+// blockedBy reports whether requests that hold their slots so long must leave room for those
+// of the demand. Slots that come free soon need not be kept.
+func (d *demand) blockedBy(holding time.Duration) bool {
+	return holding == 0 || d.patience == 0 || holding > longHolding*d.patience
 }
 
 func (d *demand) follow(now time.Time, current float64) {
@@ -87,15 +127,16 @@
 // queue: together with all that rank no higher, it uses up what is left beside their need.
 // This holds for all accounts, because work of the least urgent class can hold a slot many
 // times as long as the most urgent, and a late request as long as one that is in time.
-func (s *Shard) reserved(tier *tierQueue) bool {
+func (s *Shard) reserved(now time.Time, tier *tierQueue) bool {
 	if !s.runToEnd {
 		return false // Slots are taken back from less urgent work when they are needed.
 	}
 	budget := s.totalSlots * s.share.Slots
 	own := tier.rank()
+	holding := s.demandOf(now, rank{class: own.class}).holding
 	need := 0.0
 	for _, d := range s.demands {
-		if d.rank.above(own) {
+		if d.rank.above(own) && s.demandOf(now, rank{class: d.rank.class}).blockedBy(holding) {
 			need += d.slots
 		}
 	}
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -184,6 +184,7 @@
 		return
 	}
 	s.enqueue(q)
+	s.noteArrival(now, q)
 	if !s.anyOpen() {
 		s.refuse(now, q, outcome.NoTarget)
 		return
@@ -248,6 +249,7 @@
 		q.account.charge(actual - q.cost)
 	}
 	s.rate.add(now, max(actual, 1))
+	s.noteEnd(now, q)
 	if f.Completed {
 		t.observe(now, f)
 		s.response.add(time.Duration(f.FirstTokenMS) * time.Millisecond)
@@ -329,7 +331,7 @@
 func (s *Shard) grantAll(now time.Time) {
 	s.followDemand(now)
 	for s.waiting > 0 && !s.full() {
-		q := s.next()
+		q := s.next(now)
 		if q == nil {
 			return
 		}
@@ -357,9 +359,9 @@
 
 // next returns the waiting request that ranks first among those that may use a free slot,
 // or nil.
-func (s *Shard) next() *request {
+func (s *Shard) next(now time.Time) *request {
 	for _, tier := range s.tiers {
-		if tier.waiting > 0 && !s.reserved(tier) {
+		if tier.waiting > 0 && !s.reserved(now, tier) {
 			return tier.first()
 		}
 	}
