--- a/internal/pool/shard/reserve_test.go
+++ b/internal/pool/shard/reserve_test.go
@@ -186,3 +186,34 @@
 	}
 	require.GreaterOrEqual(t, inTime, 6, "the rest is for requests in time")
 }
+
+// TestShortWorkMayUseAllSlots gives the slots that the most urgent class does not use to
+// requests that soon give them back, and not to those that hold them long.
+func TestShortWorkMayUseAllSlots(t *testing.T) {
+	rows := []struct {
+		name    string
+		holding time.Duration
+		want    int
+	}{
+		{"short", 300 * time.Millisecond, 70},
+		{"long", 2 * time.Second, 66},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			b := newDiscoveredBench(t, 10, 10)
+			id, _ := b.ask("second", nil)
+			b.advance(row.holding)
+			b.shard.Finish(b.now, wire.Finish{ID: id, Pool: testPool, Dispatched: true, Completed: true})
+			for range 30 {
+				b.ask("first", func(r *wire.Register) { r.ObjectiveMS = 350 })
+			}
+			b.advance(2 * time.Second) // The demand of the first class is known now.
+			started := 0
+			for range 100 {
+				_, decisions := b.ask("second", func(r *wire.Register) { r.MaxWaitMS = 60_000 })
+				started += len(granted(decisions))
+			}
+			require.Equal(t, row.want, started)
+		})
+	}
+}
