A load tool with the kinds of request of the deployments

Change: scripts/bench load starts hosts, targets and callers for a sheet and sends each kind at its rate, whether answers come or not; times count from when a request was due, in histograms of a known library.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 
 	"redwinglock/internal/bench/capacity"
 	"redwinglock/internal/bench/decisions"
+	"redwinglock/internal/bench/load"
 	"redwinglock/internal/bench/soak"
 )
 
@@ -36,7 +37,15 @@
 	Logs   string        `arg:"--logs" default:"soak-logs" help:"directory for the logs of failed seeds"`
 }
 
+type loadArguments struct {
+	Sheet string        `arg:"--sheet" default:"toplopod-bg" help:"toplopod-bg or kmtw-redwing"`
+	Scale float64       `arg:"--scale" default:"1" help:"factor on all rates"`
+	Time  time.Duration `arg:"--time" default:"20s" help:"time in which requests are sent"`
+	Seed  uint64        `arg:"--seed" default:"1" help:"seed of the times of requests"`
+}
+
 type arguments struct {
+	Load      *loadArguments      `arg:"subcommand:load" help:"the requests of a deployment at real hosts"`
 	Soak      *soakArguments      `arg:"subcommand:soak" help:"real processes under random faults"`
 	Capacity  *capacityArguments  `arg:"subcommand:capacity" help:"cost of each role, for docs/CAPACITY.md"`
 	Decisions *decisionsArguments `arg:"subcommand:decisions" help:"order, shares and placement under load"`
@@ -53,6 +62,8 @@
 		err = runDecisions(args.Decisions)
 	case args.Soak != nil:
 		err = runSoak(args.Soak)
+	case args.Load != nil:
+		err = runLoad(args.Load)
 	default:
 		parser.Fail("a subcommand is needed")
 	}
@@ -96,6 +107,18 @@
 	return nil
 }
 
+func runLoad(args *loadArguments) error {
+	sheet, err := load.ReadSheet(args.Sheet)
+	if err != nil {
+		return err
+	}
+	reports, err := load.Run(sheet, load.Options{Settings: "deploy/settings.yaml", Scale: args.Scale, Lasting: args.Time, Seed: args.Seed})
+	if err != nil {
+		return err
+	}
+	return load.Print(os.Stdout, reports)
+}
+
 func runSoak(args *soakArguments) error {
 	first := args.First
 	if first == 0 {
--- a/internal/pool/shard/reserve_test.go
+++ b/internal/pool/shard/reserve_test.go
@@ -171,7 +171,7 @@
 	for range 40 {
 		require.Equal(t, 1, ask(300))
 	}
-	b.advance(2 * time.Second) // The demand of requests in time is known now.
+	b.advance(2 * time.Second)                            // The demand of requests in time is known now.
 	b.shard.SetShare(b.now, Share{Slots: 0.01, Quota: 1}) // Nothing starts for a while.
 	for range 100 {
 		require.Zero(t, ask(1))
