--- /dev/null
+++ b/internal/entry/gateway/limits_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestTargetIsToldTheTimeLeft(t *testing.T) {
+	rows := []struct {
+		name, path, left string
+		most             int
+	}{
+		{"of the caller", "/write/x", "700", 700},
+		{"of the route", "/brief/x", "60000", 150},
+		{"of the route, as the caller has none", "/brief/x", "", 150},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, answerWith(http.StatusOK, ""))
+			s.send("POST", row.path, "", "Left-Ms", row.left)
+			left, err := strconv.Atoi(s.targets[0].requests()[0].Header.Get("Left-Ms"))
+			require.NoError(t, err)
+			require.LessOrEqual(t, left, row.most)
+			require.Positive(t, left)
+		})
+	}
+}
+
+func untilGone(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func TestTimeoutOfTheRouteEndsTheWorkOfTheTarget(t *testing.T) {
+	s := newSite(t, untilGone)
+	got := s.send("POST", "/brief/x", "")
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	<-s.targets[0].done
+}
+
+func TestCallerThatLeavesEndsTheWorkOfTheTarget(t *testing.T) {
+	started := make(chan struct{})
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		untilGone(w, r)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "POST", s.url+"/write/x", nil)
+	require.NoError(t, err)
+	request.Header.Set("Key", "key")
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err = http.DefaultTransport.RoundTrip(request)
+	require.ErrorIs(t, err, context.Canceled)
+	<-s.targets[0].done
+}
+
+func TestRepeatBudgetFollowsTheRequests(t *testing.T) {
+	b := newRepeatBudget(0.1, 4)
+	now := time.Unix(1000, 0)
+	used := 0
+	for range 1000 { // Ten seconds with 100 requests each second that all want to be repeated.
+		b.noteRequest("p", now)
+		if b.take("p", now) {
+			used++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.LessOrEqual(t, used, 100+4)
+	require.GreaterOrEqual(t, used, 100)
+}
+
+func TestRequestThatComesBackRanksAsInTimeForAWhile(t *testing.T) {
+	const objective = 400 * time.Millisecond
+	rows := []struct {
+		name           string
+		before, waited time.Duration
+		want           time.Duration
+	}{
+		{"first request", 0, 0, 280 * time.Millisecond},
+		{"first request that has waited", 0, 200 * time.Millisecond, 140 * time.Millisecond},
+		{"first request that is late", 0, time.Second, time.Millisecond},
+		{"came back in time", 100 * time.Millisecond, 0, 210 * time.Millisecond},
+		{"came back late", 2 * time.Second, 0, 140 * time.Millisecond},
+		{"came back late and has waited", 2 * time.Second, 300 * time.Millisecond, time.Millisecond},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			require.Equal(t, row.want, startWithin(objective, row.before, row.waited))
+		})
+	}
+}
+
+func TestPatienceKnowsASecondAttempt(t *testing.T) {
+	p := newPatience()
+	require.Zero(t, p.waitedBefore("r", 6*time.Second))
+	require.Equal(t, 2*time.Second, p.waitedBefore("r", 4*time.Second))
+	require.Zero(t, p.waitedBefore("other", 4*time.Second))
+	require.Zero(t, p.waitedBefore("r", 7*time.Second))
+	require.Zero(t, p.waitedBefore("r", 0))
+}
--- /dev/null
+++ b/internal/entry/gateway/site_test.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/fleet/passthrough"
+	"redwinglock/internal/peer/arbiter"
+	"redwinglock/internal/peer/front"
+	"redwinglock/internal/peer/http2"
+	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/settings"
+)
+
+// testDialect has short header names.
+type testDialect struct{}
+
+func (testDialect) ReadDemand(h http.Header) (Demand, error) {
+	d := Demand{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last-Event")}
+	if text := h.Get("Left-Ms"); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil {
+			return d, errors.New("Left-Ms: is not a number")
+		}
+		d.Left = time.Duration(ms) * time.Millisecond
+	}
+	return d, nil
+}
+
+func (testDialect) WriteDispatch(h http.Header, d Dispatch) {
+	h.Del("Key")
+	h.Set("Target", string(d.Target))
+	h.Set("Left-Ms", strconv.FormatInt(d.Left.Milliseconds(), 10))
+	if d.LastEventID != "" {
+		h.Set("Last-Event", d.LastEventID)
+	}
+}
+
+func (testDialect) ReadReply(status int, h http.Header) Reply {
+	return Reply{NotRun: h.Get("Not-Run") != "", ID: h.Get("Id"), Sealed: h.Get("Seal") != ""}
+}
+
+func (testDialect) ReadinessPath() string { return "/ready" }
+
+func (testDialect) ResolvePath() string { return "/resolve" }
+
+func (testDialect) WriteResolve(addresses []string, ttl time.Duration) ([]byte, error) {
+	return json.Marshal(addresses)
+}
+
+// testTarget is a target whose handler a test chooses. It records the requests it got.
+type testTarget struct {
+	mu   sync.Mutex
+	got  []*http.Request
+	done chan struct{} // Receives a value when a request has ended.
+}
+
+func (t *testTarget) requests() []*http.Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.got
+}
+
+// site is a gateway before some targets.
+type site struct {
+	t       *testing.T
+	url     string
+	board   *board.Board
+	server  *Server
+	targets []*testTarget
+}
+
+// newSite starts a gateway and one target for each handler. The targets are used in the
+// order of the handlers, as long as none is busy.
+func newSite(t *testing.T, handlers ...http.HandlerFunc) *site {
+	gin.SetMode(gin.ReleaseMode)
+	s := &site{t: t, board: board.New(board.Member{Name: "entry-1", Run: "run-1", CallerURL: "10.0.0.1:80"})}
+	s.board.SetJoined()
+	var found []*object.Target
+	for i, handler := range handlers {
+		target := &testTarget{done: make(chan struct{}, 100)}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			target.mu.Lock()
+			target.got = append(target.got, r)
+			target.mu.Unlock()
+			defer func() { target.done <- struct{}{} }()
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Seal", "seal-of-"+r.Header.Get("Target"))
+			handler(w, r)
+		}))
+		t.Cleanup(server.Close)
+		s.targets = append(s.targets, target)
+		found = append(found, &object.Target{Name: object.TargetName(fmt.Sprintf("t-%d", i+1)), Pool: "p", Zone: "a", Address: server.URL, Slots: 4})
+	}
+	s.board.SetConfig(testSnapshot(t).WithTargets(1, found))
+	c := common.Discard()
+	c.Settings.Gateway = &settings.Gateway{MaxBodyBytes: 1000, RepeatShare: 0.5, RepeatSlack: 10, AddressTTL: time.Second}
+	frontServer := front.New(c, s.board)
+	arbiters := arbiter.New(c, s.board, frontServer, http2.New(time.Second, nil))
+	clients := passthrough.New()
+	s.server = New(c, s.board, arbiters, clients, testDialect{})
+	server := httptest.NewServer(s.server.Handler())
+	s.url = server.URL
+	t.Cleanup(func() {
+		server.Close()
+		require.NoError(t, s.server.Close())
+		require.NoError(t, clients.Close())
+		require.NoError(t, arbiters.Close())
+		require.NoError(t, frontServer.Close())
+	})
+	return s
+}
+
+func testSnapshot(t *testing.T) *object.Snapshot {
+	route := func(name, path string, execution object.Execution, change func(*object.Route)) *object.Route {
+		r := &object.Route{
+			Name: object.RouteName(name), Host: "127.0.0.1", PathPrefix: path, Execution: execution, Tier: "tier", MaxAttempts: 2,
+			Pools: []object.WeightedPool{{Pool: "p", Weight: 1}}, Timeout: object.Duration(5 * time.Second),
+			Objective: object.Duration(time.Second),
+		}
+		if change != nil {
+			change(r)
+		}
+		return r
+	}
+	snapshot, err := object.Compile(1, "", []object.Object{
+		&object.Tier{Name: "tier", Priority: 1},
+		&object.Account{Name: "a", Tiers: []object.TierName{"tier"}, KeyHashes: []string{object.HashKey("key")}},
+		&object.Pool{Name: "p", Type: object.EnginePool, FixedSlots: true, RunToEnd: true, Discovered: true},
+		route("read", "/read/", object.Idempotent, nil),
+		route("write", "/write/", object.NonIdempotent, nil),
+		route("fixed", "/fixed/", object.Stream, nil),
+		route("resumed", "/resumed/", object.Stream, func(r *object.Route) { r.Resumable = true }),
+		route("brief", "/brief/", object.NonIdempotent, func(r *object.Route) { r.Timeout = object.Duration(150 * time.Millisecond) }),
+		route("public", "/public/", object.Idempotent, func(r *object.Route) { r.Public = true }),
+	})
+	require.NoError(t, err)
+	return snapshot
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	closes bool  // The gateway closes the connection.
+	err    error // Of reading the body.
+}
+
+func (s *site) send(method, path, body string, header ...string) reply {
+	request, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	request.Header.Set("Id", "id-1")
+	request.Header.Set("Key", "key")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	require.NoError(s.t, err)
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(content), response.Close, err}
+}
+
+// runs returns how many requests each target got.
+func (s *site) runs() []int {
+	var runs []int
+	for _, t := range s.targets {
+		runs = append(runs, len(t.requests()))
+	}
+	return runs
+}
+
+func answerWith(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func reset(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// cutBody promises more bytes than it sends.
+func cutBody(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "half")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func otherID(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Id", "another")
+	_, _ = io.WriteString(w, "not yours")
+}
+
+func unsealed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Del("Seal")
+	_, _ = io.WriteString(w, "forged")
+}
--- /dev/null
+++ b/internal/entry/gateway/streams_test.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// events writes the events from first to last, and after that a part of one if torn.
+func events(first, last int, torn bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := first; i <= last; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if torn {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", last+1)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func wholeStream(last int) string {
+	var text strings.Builder
+	for i := 1; i <= last; i++ {
+		_, _ = fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return text.String()
+}
+
+// TestBrokenStreamGoesOnInTheSameAnswer tears an event apart: the next target sends it
+// again, and the caller gets each piece once.
+func TestBrokenStreamGoesOnInTheSameAnswer(t *testing.T) {
+	s := newSite(t, events(1, 3, true), events(4, 6, false))
+	got := s.send("POST", "/resumed/x", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(6), got.body)
+	require.Equal(t, "seal-of-t-1", got.header.Get("Seal"))
+	second := s.targets[1].requests()[0]
+	require.Equal(t, "3", second.Header.Get("Last-Event"))
+}
+
+func TestBrokenStreamThatCannotBeResumedIsCut(t *testing.T) {
+	s := newSite(t, events(1, 3, true), events(4, 6, false))
+	got := s.send("POST", "/fixed/x", "prompt")
+	require.Error(t, got.err)
+	require.Equal(t, wholeStream(3), got.body)
+	require.Equal(t, []int{1, 0}, s.runs())
+}
+
+func TestStreamThatIsRefusedOnItsWayIsCut(t *testing.T) {
+	s := newSite(t, events(1, 3, true), notRun)
+	got := s.send("POST", "/resumed/x", "prompt")
+	require.Error(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+}
+
+func TestEventSplitterKeepsEventsWhole(t *testing.T) {
+	rows := []struct {
+		name   string
+		chunks []string
+		want   []string
+		lastID string
+	}{
+		{"one event", []string{"id: 1\ndata: a\n\n"}, []string{"id: 1\ndata: a\n\n"}, "1"},
+		{"split event", []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, []string{"", "", "id: 1\ndata: a\n\n"}, "1"},
+		{"two at once", []string{"id:1\n\nid:2\n\nid:3"}, []string{"id:1\n\nid:2\n\n"}, "2"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var s eventSplitter
+			for i, chunk := range row.chunks {
+				require.Equal(t, row.want[i], string(s.add([]byte(chunk))))
+			}
+			require.Equal(t, row.lastID, s.lastID)
+		})
+	}
+}
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -9,6 +9,7 @@
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
 )
 
 // quotaFronts are fronts whose requests use the quota of one account by way of arbiters that
@@ -193,3 +194,73 @@
 	w.Add(now, 3)
 	require.Zero(t, w.Sum(now.Add(time.Minute), 8*time.Second), "a use from long ago")
 }
+
+func TestQuotaAdmitsWhatTheWindowTolerates(t *testing.T) {
+	b := newDiscoveredBench(t, 100, 100)
+	ask := func(cost float64) []Decision {
+		_, decisions := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = cost })
+		return decisions
+	}
+	ask(1)
+	b.advance(20 * time.Second)
+	used := 0
+	for range 80 { // Eight seconds at ten times the rate.
+		for range 100 {
+			used += len(granted(ask(1)))
+		}
+		b.advance(100 * time.Millisecond)
+	}
+	quota := 100*8 + 100.0
+	require.GreaterOrEqual(t, float64(used), quota)
+	require.LessOrEqual(t, float64(used), quota*1.1+100)
+	over := refusals(ask(50))
+	require.Len(t, over, 1)
+	require.Equal(t, outcome.AccountLimit, over[0].Reason)
+	require.Positive(t, over[0].RetryAfter)
+}
+
+func TestQuotaIsSharedByThePoolsOfOneArbiter(t *testing.T) {
+	b := newDiscoveredBench(t, 1, 1000)
+	other := New("other", b.shard.quotas)
+	other.Configure(b.now, b.shard.snapshot, nil)
+	b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 1 })
+	b.advance(10 * time.Second)
+	for _, cost := range []float64{100, 165} { // The burst, and most of the tolerated excess.
+		_, decisions := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = cost })
+		require.Len(t, granted(decisions), 1)
+	}
+	state, wait := other.takeQuota(b.now, &request{Register: wire.Register{Account: "metered", QuotaCost: 100}})
+	require.NotNil(t, state)
+	require.Equal(t, object.AccountName("metered"), state.Account)
+	require.InDelta(t, 100, state.Cost, 0)
+	require.Less(t, state.Within, 100.0)
+	require.Positive(t, wait)
+}
+
+func TestQuotaOfARequestThatDidNotRunIsGivenBack(t *testing.T) {
+	b := newDiscoveredBench(t, 1, 1)
+	b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 1 })
+	b.advance(10 * time.Second)
+	level := b.shard.quotas.uses["metered"].within.level
+	waiting, _ := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 90 })
+	b.shard.Withdraw(b.now, waiting)
+	require.InDelta(t, 100, b.shard.quotas.uses["metered"].within.level, 100-level+1)
+}
+
+// TestAccountsComeBackAfterAllHostsWereKilled replays the first second after a restart of
+// all hosts: the fronts come to the new arbiter one after the other, and the callers of an
+// account inside its limit come back together.
+func TestAccountsComeBackAfterAllHostsWereKilled(t *testing.T) {
+	b := newDiscoveredBench(t, 10, 100)
+	refused := 0
+	for front := 1; front <= 6; front++ {
+		share := float64(front) / 6
+		b.shard.SetShare(b.now, Share{Slots: share, Quota: share})
+		for range 5 {
+			_, decisions := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 1 })
+			refused += len(refusals(decisions))
+		}
+		b.advance(10 * time.Millisecond)
+	}
+	require.LessOrEqual(t, refused, 3, "30 requests of an account that may send 100 at once")
+}
--- a/internal/pool/shard/reserve_test.go
+++ b/internal/pool/shard/reserve_test.go
@@ -217,3 +217,50 @@
 		})
 	}
 }
+
+// TestLongWorkLeavesRoomForUrgentWork replays a burst of the least urgent class, whose
+// requests hold a slot long, before one of the most urgent.
+func TestLongWorkLeavesRoomForUrgentWork(t *testing.T) {
+	b := newDiscoveredBench(t, 10, 10)
+	urgent := map[wire.RequestID]bool{}
+	for range 30 {
+		id, _ := b.ask("first", nil)
+		urgent[id] = true
+	}
+	b.advance(2 * time.Second) // The demand of the urgent class is known now.
+	long := 0
+	for range 200 {
+		_, decisions := b.ask("third", func(r *wire.Register) { r.MaxWaitMS = 60_000 })
+		long += len(granted(decisions))
+	}
+	require.Equal(t, 66, long, "100 slots less 1.15 times 30")
+	for id := range urgent {
+		b.finish(id)
+	}
+	started := 0
+	for range 30 {
+		_, decisions := b.ask("first", nil)
+		started += len(granted(decisions))
+	}
+	require.Equal(t, 30, started, "a burst of the urgent class starts at once")
+}
+
+func TestLeastUrgentWorkKeepsAPart(t *testing.T) {
+	b := newDiscoveredBench(t, 10, 10)
+	for range 100 {
+		b.ask("first", nil)
+	}
+	b.advance(3 * time.Second)
+	waiting, _ := b.ask("third", func(r *wire.Register) { r.MaxWaitMS = 60_000 })
+	require.Equal(t, []wire.RequestID{waiting}, granted(b.finish("1")))
+}
+
+func TestRequestOutOfTimeWaitsBehindThoseInTime(t *testing.T) {
+	b := newDiscoveredBench(t, 1, 1)
+	running, _ := b.ask("first", nil)
+	late, _ := b.ask("first", func(r *wire.Register) { r.ObjectiveMS = 100; r.MaxWaitMS = 5000 })
+	b.advance(200 * time.Millisecond)
+	inTime, _ := b.ask("first", func(r *wire.Register) { r.ObjectiveMS = 100; r.MaxWaitMS = 5000 })
+	require.Equal(t, []wire.RequestID{inTime}, granted(b.finish(running)))
+	require.Equal(t, []wire.RequestID{late}, granted(b.finish(inTime)))
+}
