Each class keeps its least part beside less urgent ones

Room for the most urgent leaves 15 slots; 10 to 13 streams of the least urgent class hold them, and counted against the second class.

Ruled out: targets (8 ready), the share (1), quotas (not in these seconds).

Change: a class whose running requests are fewer than 15% of the slots may start another one, whatever less urgent classes hold.

Before: TestRunningWorkOfALessUrgentClassDoesNotUseUpThePartOfAnother: 0 of 15. After: it passes.

--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -143,16 +143,17 @@
 	if need == 0 {
 		return false
 	}
-	running := 0
+	running, ofClass := 0, 0
 	for _, t := range s.tiers {
 		if !t.rank().above(own) {
 			running += len(t.running)
 		}
+		if t.classPriority == own.class {
+			ofClass += len(t.running)
+		}
 	}
-	least := budget * minClassShare
-	if tier.late {
-		least = 0
+	if !tier.late && float64(ofClass) < budget*minClassShare {
+		return false // Less urgent classes that run already do not use up its part.
 	}
-	limit := max(budget-need*reserveMargin, least, 1)
-	return float64(running) >= limit
+	return float64(running) >= max(budget-need*reserveMargin, 1)
 }
--- a/internal/pool/shard/reserve_test.go
+++ b/internal/pool/shard/reserve_test.go
@@ -264,3 +264,26 @@
 	require.Equal(t, []wire.RequestID{inTime}, granted(b.finish(running)))
 	require.Equal(t, []wire.RequestID{late}, granted(b.finish(inTime)))
 }
+
+// TestRunningWorkOfALessUrgentClassDoesNotUseUpThePartOfAnother lets the least urgent class
+// take all that the most urgent leaves, before requests of the class between them come.
+func TestRunningWorkOfALessUrgentClassDoesNotUseUpThePartOfAnother(t *testing.T) {
+	b := newDiscoveredBench(t, 10, 10)
+	var urgent []wire.RequestID
+	for range 80 {
+		id, _ := b.ask("first", nil)
+		urgent = append(urgent, id)
+	}
+	for range 20 {
+		b.ask("third", func(r *wire.Register) { r.MaxWaitMS = 60_000 })
+	}
+	b.advance(2 * time.Second) // The demand of the first class is known now.
+	for range 20 {
+		b.ask("second", func(r *wire.Register) { r.MaxWaitMS = 60_000 })
+	}
+	started := 0
+	for _, id := range urgent[:20] {
+		started += len(granted(b.finish(id)))
+	}
+	require.GreaterOrEqual(t, started, 15, "15% of 100 slots")
+}
