--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -76,7 +76,7 @@
 	// echoShare is the part of faults, one in this many, that is followed by another at the
 	// same place while it lasts.
 	echoShare = 3
-	// variants is a number that all numbers of ways divide.
+	// variants is from how many numbers a place or a way is drawn.
 	variants = 72
 )
 
