Test of the proxy: the reset of a refused connection may come during the dial

A refused connection is accepted and reset at once; the reset can arrive before the dialling side has read the result of its connect, so that the dial itself fails. The test took each failed dial for a fault. Ruled out: load or a used port: 4,000 runs on a calm machine failed 3 times in the same line; the proxy answers the same way each time. Change: the test asks for a reset at the dial or at the first read, and for a reset by its number, where it took any error of the read before. Conclusion: a fault of the test. Other users of refused links go through net/http, which treats both alike.

--- a/internal/standin/proxy/proxy_test.go
+++ b/internal/standin/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -85,8 +86,18 @@
 	require.ErrorContains(t, err, "reset")
 
 	p.Set(Link{Refused: true})
-	_, reader = dial(t, p)
-	_, err = reader.ReadString('\n')
-	require.Error(t, err)
+	require.ErrorIs(t, firstRead(p), syscall.ECONNRESET)
 	require.NoError(t, p.Close())
 }
+
+// firstRead opens a connection and reads from it. The reset of a refused connection can
+// reach the dialling side before its dial returns or after.
+func firstRead(p *Proxy) error {
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
