Tokens of an answer are counted by its events

Cause: what a target had generated was taken to be the most that the caller allows, the same 510, 225 or 2,790 tokens for each answer of a kind, and the time between tokens was the length of the answer divided by it. Ruled out: estimates of the callers (right at the median, often far off). Change: the pool says how many tokens an event holds (event-tokens; the operators' configuration gives it), and only events that came are counted. Lines about answered and refused requests name the class and the size of the request.

--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -25,8 +25,18 @@
 
 // measure is what was seen of one answer.
 type measure struct {
-	events      int
-	first, last time.Time
+	// events is the number of whole events, and atFirst how many of them came first, together.
+	events, atFirst int
+	first, last     time.Time
+}
+
+// tokenTime returns the mean time between tokens, 0 if all came together.
+func (m measure) tokenTime(eventTokens int) time.Duration {
+	tokens := (m.events - m.atFirst) * eventTokens
+	if tokens == 0 {
+		return 0
+	}
+	return m.last.Sub(m.first) / time.Duration(tokens)
 }
 
 // copy passes an answer on as it comes. It returns an error if the answer ended early.
@@ -104,15 +114,17 @@
 
 // write passes the events on that are whole by now.
 func (a *answer) write(content []byte, m *measure) error {
+	before := a.events.count
 	whole := a.events.add(content)
 	if len(whole) == 0 {
 		return nil
 	}
-	if m.events == 0 {
-		m.first = time.Now()
-	}
-	m.events++
 	m.last = time.Now()
+	m.events += a.events.count - before
+	if m.first.IsZero() {
+		m.first = m.last
+		m.atFirst = m.events
+	}
 	if _, err := a.writer.Write(whole); err != nil {
 		return fmt.Errorf("%w: write events: %w", errCallerGone, err)
 	}
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -299,10 +299,11 @@
 		Completed:    err == nil && response.StatusCode < http.StatusMultipleChoices,
 		PromptTokens: r.demand.PromptTokens,
 	}
-	if measure.events > 1 {
+	if measure.events > 0 {
+		eventTokens := r.eventTokens()
 		finish.FirstTokenMS = measure.first.Sub(sentAt).Milliseconds()
-		finish.OutputTokens = max(r.demand.OutputTokens, measure.events)
-		finish.DecodeUS = measure.last.Sub(measure.first).Microseconds() / int64(finish.OutputTokens)
+		finish.OutputTokens = measure.events * eventTokens
+		finish.DecodeUS = measure.tokenTime(eventTokens).Microseconds()
 	}
 	if errors.Is(err, errCallerGone) {
 		return finish, err
@@ -347,8 +348,9 @@
 		return
 	}
 	r.log.WithFields(logrus.Fields{
-		"route": r.route.Name, "tier": r.tier(), "target": target.Name, "status": status, "attempts": r.attempts,
+		"route": r.route.Name, "tier": r.tier(), "class": r.route.Tier, "target": target.Name, "status": status, "attempts": r.attempts,
 		"waited-ms": sentAt.Sub(r.arrived).Milliseconds(), "first-ms": f.FirstTokenMS, "total-ms": now.Sub(r.arrived).Milliseconds(),
+		"prompt-tokens": r.demand.PromptTokens, "output-tokens": r.demand.OutputTokens,
 		"config-revision": r.snapshot.Revision, "target-revision": r.snapshot.TargetRevision,
 	}).Info("Request answered.")
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -236,6 +236,14 @@
 	return nil
 }
 
+// eventTokens returns how many tokens an event of the answer holds.
+func (r *request) eventTokens() int {
+	if view := r.snapshot.Pool(r.pool); view != nil {
+		return max(view.EventTokens, 1)
+	}
+	return 1
+}
+
 // tier returns the tier of a request: that of the account, if it has one of its own,
 // goes before that of the route.
 func (r *request) tier() object.TierName {
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -336,7 +336,7 @@
 		})
 	}
 	log.WithFields(logrus.Fields{
-		"request": d.ID, "tier": d.Tier, "reason": d.Reason, "retry-after": d.RetryAfter.String(),
+		"request": d.ID, "tier": d.Tier, "class": d.Class, "reason": d.Reason, "retry-after": d.RetryAfter.String(),
 		"waited-ms": d.Waited.Milliseconds(), "late": d.Late, "ready": sum.Ready, "failed": sum.Failed, "slots": sum.Slots,
 		"slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota, "waiting": sum.Waiting, "running": sum.Running,
 	}).Info("Request refused.")
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -23,8 +23,10 @@
 
 // Refuse ends a waiting request.
 type Refuse struct {
-	ID         wire.RequestID
-	Tier       object.TierName
+	ID   wire.RequestID
+	Tier object.TierName
+	// Class is the tier of the kind of request.
+	Class      object.TierName
 	Reason     outcome.Reason
 	RetryAfter time.Duration
 	// Waited is how long the request was queued, and Late tells whether it was out of time
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -49,7 +49,7 @@
 	if state, wait := s.takeQuota(now, q); state != nil {
 		s.forget(q)
 		s.decisions = append(s.decisions, Refuse{
-			ID: q.ID, Tier: q.tier.name, Reason: outcome.AccountLimit, RetryAfter: s.returnAfter(now, q, max(wait, minRetryAfter)), Quota: state,
+			ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: outcome.AccountLimit, RetryAfter: s.returnAfter(now, q, max(wait, minRetryAfter)), Quota: state,
 		})
 		return
 	}
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -104,5 +104,5 @@
 	s.dequeue(q)
 	s.refundQuota(now, q)
 	s.forget(q)
-	s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Reason: reason, RetryAfter: retryAfter, Waited: now.Sub(q.queuedAt), Late: q.tier.late})
+	s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: reason, RetryAfter: retryAfter, Waited: now.Sub(q.queuedAt), Late: q.tier.late})
 }
--- a/internal/state/object/check.go
+++ b/internal/state/object/check.go
@@ -98,6 +98,7 @@
 	case *Pool:
 		pool := *o
 		setDefault(&pool.QueueLimit, DefaultQueueLimit)
+		setDefault(&pool.EventTokens, 1)
 		setDefault(&pool.IdleTimeout, DefaultIdleTimeout)
 		setDefault(&pool.SilenceTimeout, max(DefaultSilenceTimeout, pool.IdleTimeout))
 		c.pools[o.Name] = &pool
@@ -218,6 +219,9 @@
 		if p.QueueLimit < 1 {
 			c.fault(p, "queue-limit", "%d is less than 1", p.QueueLimit)
 		}
+		if p.EventTokens < 1 {
+			c.fault(p, "event-tokens", "%d is less than 1", p.EventTokens)
+		}
 		if p.IdleTimeout < 0 {
 			c.fault(p, "idle-timeout", "is negative")
 		}
--- a/internal/state/object/types.go
+++ b/internal/state/object/types.go
@@ -157,6 +157,8 @@
 	SilenceTimeout Duration `json:"silence-timeout,omitempty" yaml:"silence-timeout,omitempty"`
 	// NonIdempotent marks every call to the pool as non-idempotent.
 	NonIdempotent bool `json:"non-idempotent,omitempty" yaml:"non-idempotent,omitempty"`
+	// EventTokens is how many tokens of an answer one event of a stream holds. Default 1.
+	EventTokens int `json:"event-tokens,omitempty" yaml:"event-tokens,omitempty"`
 	// FixedSlots keeps the limit of each target at its slots instead of learning it.
 	FixedSlots bool `json:"fixed-slots,omitempty" yaml:"fixed-slots,omitempty"`
 	// RunToEnd keeps running requests from being cancelled for more urgent ones.
