Quotas go by the sum of the window, counted when requests are sent

Cause, two: (1) A request was counted when it was admitted, also if it waited: what ten seconds had admitted could be sent to targets within eight. Change: admitted requests that wait count as used now, and in the window from when they are sent. The sum of the window is the only limit where a window is set; a quota without one keeps its bucket. A refused caller is told when enough of the window has passed. Test: TestRequestsThatWaitCountWhenTheyAreSent: 2,140 sent in 8 s where 1,090 may be, if counted when admitted; TestFloodUsesTheWindowFromItsStart: 221 of 600 refused before, none now. TestQuotaIsSharedByThePools uses up a window instead of a bucket; TestQuotaOfARequestThatDidNotRunIsGivenBack takes 20 times what the quota holds.

--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -331,8 +331,7 @@
 	log := w.sessions[d.ID].session.server.log
 	if d.Quota != nil {
 		log = log.WithFields(logrus.Fields{
-			"account": d.Quota.Account, "quota-cost": d.Quota.Cost, "quota-left": d.Quota.Within, "excess-left": d.Quota.Beyond,
-			"window-used": d.Quota.Used, "window-limit": d.Quota.Limit,
+			"account": d.Quota.Account, "quota-cost": d.Quota.Cost, "quota-used": d.Quota.Used, "quota-limit": d.Quota.Limit,
 		})
 	}
 	log.WithFields(logrus.Fields{
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -42,11 +42,8 @@
 	Account object.AccountName
 	// Cost is what the request would have used.
 	Cost float64
-	// Within and Beyond are what was left at that moment of the quota and of the tolerated
-	// excess.
-	Within, Beyond float64
-	// Used is what the account has used in the last window, with the part that nobody
-	// remembers, and Limit what it may.
+	// Used is what the account has used in the last window, with what its waiting requests
+	// will use and the part that nobody remembers, and Limit what it may.
 	Used, Limit float64
 }
 
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -9,14 +9,12 @@
 )
 
 const (
-	// quotaMargin is the share by which an account may pass its rate, so that one inside
-	// its limit is not refused because its requests arrive bunched.
+	// quotaMargin is the share by which an account may pass its rate where no window is set,
+	// so that one inside its limit is not refused because its requests arrive bunched.
 	quotaMargin = 0.02
-	// toleranceShare is the part of the tolerated excess that is given out over time.
+	// toleranceShare is the part of the tolerated excess that is given out. The rest covers
+	// fronts that were lost and can no longer tell what they have used.
 	toleranceShare = 0.9
-	// windowShare is the part of the tolerated excess that one window may hold. The rest
-	// covers fronts that were lost and can no longer tell what they have used.
-	windowShare = 0.9
 )
 
 // bucket is a token bucket.
@@ -32,20 +30,22 @@
 	b.level = min(b.level+elapsed*perSecond, capacity)
 }
 
-// quotaUse holds what an account may still run: within its quota, and beyond it within
-// what is tolerated.
+// quotaUse holds what an account has used lately.
 type quotaUse struct {
-	within, beyond bucket
-	// started is the highest share of the quota for which the start level was given.
-	started float64
-	// granted is what all fronts were granted lately, by this arbiter and by those before it,
-	// and fronts the part of each front in it.
+	// granted is what all fronts were granted, by this arbiter and by those before it, and
+	// fronts the part of each front in it.
 	granted *UseWindow
 	fronts  map[wire.HostID]*UseWindow
+	// waiting is what admitted requests will use that wait for a target.
+	waiting float64
+	// bucket limits the account if its quota has no window.
+	bucket bucket
+	// started is the highest share of the quota for which the bucket got its start level.
+	started float64
 }
 
 func newQuotaUse(now time.Time) *quotaUse {
-	return &quotaUse{within: bucket{0, now}, beyond: bucket{0, now}, granted: NewUseWindow(now), fronts: map[wire.HostID]*UseWindow{}}
+	return &quotaUse{bucket: bucket{0, now}, granted: NewUseWindow(now), fronts: map[wire.HostID]*UseWindow{}}
 }
 
 // note counts a grant to a front.
@@ -59,39 +59,6 @@
 	u.granted.Add(at, cost)
 }
 
-// start gives the start level for a share that has grown. Fronts come to a new arbiter one
-// after the other.
-func (u *quotaUse) start(q *object.Quota, share float64) {
-	if share <= u.started {
-		return
-	}
-	u.within.level += (share - u.started) * q.Burst
-	u.started = share
-}
-
-// fill brings both buckets to the present. The tolerated excess can be used at once and
-// comes back over the window; the sum of each window bounds both.
-func (u *quotaUse) fill(now time.Time, q *object.Quota, share float64) {
-	u.within.fill(now, q.PerSecond*(1+quotaMargin)*share, q.Burst*share)
-	excess := q.Tolerated() * toleranceShare * share
-	if q.Window > 0 {
-		u.beyond.fill(now, excess/time.Duration(q.Window).Seconds(), excess)
-	}
-}
-
-// take uses the quota, or the tolerated excess, and reports whether there was enough.
-func (u *quotaUse) take(cost, need float64) bool {
-	switch {
-	case u.within.level >= need:
-		u.within.level -= cost
-	case u.beyond.level >= cost:
-		u.beyond.level -= cost
-	default:
-		return false
-	}
-	return true
-}
-
 // Quotas counts what accounts use of their quotas in all pools of one arbiter. It is safe
 // for concurrent use.
 type Quotas struct {
@@ -172,35 +139,64 @@
 // charge is a request for a part of the quota of an account.
 type charge struct {
 	account object.AccountName
-	front   wire.HostID
 	cost    float64
 	// share is this arbiter's part of the quota.
 	share float64
 }
 
-// take charges an account. If the account has used its quota up, take returns what was
-// left and the time after which it has enough.
+// take admits a request of an account, which counts from now on. If the account has used its
+// quota up, take returns the state of the quota and the time after which it has enough.
 func (q *Quotas) take(now time.Time, quota *object.Quota, c charge) (*QuotaState, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.noteServing(now, time.Duration(quota.Window))
 	use := q.use(now, c.account)
-	use.start(quota, c.share)
-	use.fill(now, quota, c.share)
-	// A request larger than the burst passes when the bucket is full.
-	need := min(c.cost, quota.Burst*c.share)
-	used, limit := q.window(now, quota, use, c.share)
-	fits := limit == 0 || used+c.cost <= limit
-	if fits && use.take(c.cost, need) {
-		use.note(now, c.front, c.cost)
-		return nil, 0
+	if !windowed(quota) {
+		return use.takeFromBucket(now, quota, c)
+	}
+	window := time.Duration(quota.Window)
+	limit := c.share * (quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*toleranceShare)
+	used := use.granted.Sum(now, window) + use.waiting + limit*q.unknownPart(now, window)
+	if used+c.cost > limit {
+		wait := use.granted.FreeAfter(now, window, used+c.cost-limit)
+		return &QuotaState{Account: c.account, Cost: c.cost, Used: used, Limit: limit}, wait
+	}
+	use.waiting += c.cost
+	return nil, 0
+}
+
+// windowed reports whether the use of each window is limited. Otherwise a rate is.
+func windowed(quota *object.Quota) bool {
+	return quota.Window > 0 && time.Duration(quota.Window) <= UseSpan
+}
+
+// takeFromBucket limits the rate of an account whose quota has no window.
+func (u *quotaUse) takeFromBucket(now time.Time, quota *object.Quota, c charge) (*QuotaState, time.Duration) {
+	rate, burst := quota.PerSecond*c.share, quota.Burst*c.share
+	if c.share > u.started {
+		// Fronts come to a new arbiter one after the other.
+		u.bucket.level += (c.share - u.started) * quota.Burst
+		u.started = c.share
 	}
-	missing := need - use.within.level
-	if !fits {
-		missing = max(missing, c.cost)
+	u.bucket.fill(now, rate*(1+quotaMargin), burst)
+	// A request larger than the burst passes when the bucket is full.
+	missing := min(c.cost, burst) - u.bucket.level
+	if missing > 0 {
+		wait := time.Duration(missing / rate * float64(time.Second))
+		return &QuotaState{Account: c.account, Cost: c.cost, Used: burst - u.bucket.level, Limit: burst}, wait
 	}
-	wait := time.Duration(missing / (quota.PerSecond * c.share) * float64(time.Second))
-	return &QuotaState{Account: c.account, Cost: c.cost, Within: use.within.level, Beyond: use.beyond.level, Used: used, Limit: limit}, wait
+	u.bucket.level -= c.cost
+	u.waiting += c.cost
+	return nil, 0
+}
+
+// grant counts an admitted request as used when it is sent to a target.
+func (q *Quotas) grant(now time.Time, name object.AccountName, front wire.HostID, cost float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	use := q.use(now, name)
+	use.waiting -= cost
+	use.note(now, front, cost)
 }
 
 // noteServing remembers since when this arbiter has granted without a long pause.
@@ -211,17 +207,6 @@
 	q.servedAt = now
 }
 
-// window returns what the account has used in the last window, with all that other
-// arbiters have granted before, and what it may. The limit is 0 if there is none.
-func (q *Quotas) window(now time.Time, quota *object.Quota, use *quotaUse, share float64) (used, limit float64) {
-	window := time.Duration(quota.Window)
-	if window <= 0 || window > UseSpan {
-		return 0, 0
-	}
-	limit = share * (quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*windowShare)
-	return use.granted.Sum(now, window) + limit*q.unknownPart(now, window), limit
-}
-
 // unknownPart returns which part of the use of the last window nobody remembers: that of
 // fronts that have started since, before this arbiter began to serve. It may have been all
 // that was allowed.
@@ -236,34 +221,47 @@
 	return unknown / window.Seconds() / float64(max(len(q.counting), 1))
 }
 
-// refund gives back what was charged for a request that did not run.
-func (q *Quotas) refund(now time.Time, name object.AccountName, front wire.HostID, cost float64) {
+// release gives back what an admitted request was to use that did not run. counted says that
+// it was granted before.
+func (q *Quotas) release(now time.Time, name object.AccountName, front wire.HostID, cost float64, counted bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if use := q.uses[name]; use != nil {
-		use.within.level += cost
+	use := q.use(now, name)
+	use.bucket.level += cost
+	if counted {
 		use.note(now, front, -cost)
+		return
 	}
+	use.waiting -= cost
 }
 
 // takeQuota charges a request to its account. If the account has used up its quota, it
-// returns what was left and the time after which it has enough.
+// returns the state of the quota and the time after which it has enough.
 func (s *Shard) takeQuota(now time.Time, q *request) (*QuotaState, time.Duration) {
 	quota := s.quota(q.Account)
 	if quota == nil || q.QuotaCost <= 0 {
 		return nil, 0
 	}
-	state, wait := s.quotas.take(now, quota, charge{account: q.Account, front: q.Front, cost: q.QuotaCost, share: s.share.Quota})
+	state, wait := s.quotas.take(now, quota, charge{account: q.Account, cost: q.QuotaCost, share: s.share.Quota})
 	if state == nil {
 		q.charged = q.QuotaCost
 	}
 	return state, wait
 }
 
+// countQuota counts the use of a request that is granted. It counts once, however often it
+// is granted.
+func (s *Shard) countQuota(now time.Time, q *request) {
+	if q.charged > 0 && !q.counted {
+		s.quotas.grant(now, q.Account, q.Front, q.charged)
+		q.counted = true
+	}
+}
+
 // refundQuota gives back what a request was charged that did not run.
 func (s *Shard) refundQuota(now time.Time, q *request) {
 	if q.charged > 0 {
-		s.quotas.refund(now, q.Account, q.Front, q.charged)
+		s.quotas.release(now, q.Account, q.Front, q.charged, q.counted)
 	}
 	q.charged = 0
 }
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -23,8 +23,10 @@
 	beginBy time.Time
 	// dueAt is lateAt while the request is in time, else giveUpAt.
 	dueAt time.Time
-	// charged is what the request has used of the quota of its account.
+	// charged is what the request uses of the quota of its account, and counted is set once it
+	// was granted.
 	charged float64
+	counted bool
 	// deadline is when the caller wants the answer, zero if it did not say.
 	deadline time.Time
 	// preemptor is set once a running request was cancelled for this one.
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -42,6 +42,7 @@
 		q.tier.floor = q.account.virtual
 		q.account.charge(q.cost)
 		q.tier.fixAccount(q.account)
+		s.countQuota(now, q)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
 		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt)})
--- a/internal/pool/shard/usewindow.go
+++ b/internal/pool/shard/usewindow.go
@@ -51,6 +51,19 @@
 	return sum
 }
 
+// FreeAfter returns the time after which a part of the use of the last span is older than
+// the span, at most the span.
+func (w *UseWindow) FreeAfter(now time.Time, span time.Duration, part float64) time.Duration {
+	costs := w.Recent(now, span)
+	for age := len(costs) - 1; age >= 0; age-- {
+		part -= costs[age]
+		if part <= 0 {
+			return max(span-time.Duration(age)*UseStep, 0)
+		}
+	}
+	return span
+}
+
 // Recent returns the steps of the last span of time, the newest first.
 func (w *UseWindow) Recent(now time.Time, span time.Duration) []float64 {
 	w.step(now)
