Urgent requests of an account get its quota first

Cause: of an account that asks for more than its quota whatever came first was admitted. Ruled out: the limit itself (it is the tolerated window but for a tenth of the excess).

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -36,6 +36,8 @@
 	// fronts the part of each front in it.
 	granted *UseWindow
 	fronts  map[wire.HostID]*UseWindow
+	// classes are the kinds of requests of the account.
+	classes []*classUse
 	// waiting is what admitted requests will use that wait for a target.
 	waiting float64
 	// bucket limits the account if its quota has no window.
@@ -139,7 +141,10 @@
 // charge is a request for a part of the quota of an account.
 type charge struct {
 	account object.AccountName
-	cost    float64
+	pool    object.PoolName
+	// class is the priority of the class of the request.
+	class int
+	cost  float64
 	// share is this arbiter's part of the quota.
 	share float64
 }
@@ -157,11 +162,13 @@
 	window := time.Duration(quota.Window)
 	limit := c.share * (quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*toleranceShare)
 	used := use.granted.Sum(now, window) + use.waiting + limit*q.unknownPart(now, window)
-	if used+c.cost > limit {
-		wait := use.granted.FreeAfter(now, window, used+c.cost-limit)
+	missing := max(used+c.cost-limit, use.missingFor(now, window, limit, c))
+	if missing > 0 {
+		wait := use.granted.FreeAfter(now, window, missing)
 		return &QuotaState{Account: c.account, Cost: c.cost, Used: used, Limit: limit}, wait
 	}
 	use.waiting += c.cost
+	use.class(now, c).admitted.Add(now, c.cost)
 	return nil, 0
 }
 
@@ -223,16 +230,17 @@
 
 // release gives back what an admitted request was to use that did not run. counted says that
 // it was granted before.
-func (q *Quotas) release(now time.Time, name object.AccountName, front wire.HostID, cost float64, counted bool) {
+func (q *Quotas) release(now time.Time, c charge, front wire.HostID, counted bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	use := q.use(now, name)
-	use.bucket.level += cost
+	use := q.use(now, c.account)
+	use.bucket.level += c.cost
+	use.class(now, c).admitted.Add(now, -c.cost)
 	if counted {
-		use.note(now, front, -cost)
+		use.note(now, front, -c.cost)
 		return
 	}
-	use.waiting -= cost
+	use.waiting -= c.cost
 }
 
 // takeQuota charges a request to its account. If the account has used up its quota, it
@@ -242,13 +250,17 @@
 	if quota == nil || q.QuotaCost <= 0 {
 		return nil, 0
 	}
-	state, wait := s.quotas.take(now, quota, charge{account: q.Account, cost: q.QuotaCost, share: s.share.Quota})
+	state, wait := s.quotas.take(now, quota, s.charge(q, q.QuotaCost))
 	if state == nil {
 		q.charged = q.QuotaCost
 	}
 	return state, wait
 }
 
+func (s *Shard) charge(q *request, cost float64) charge {
+	return charge{account: q.Account, pool: s.pool, class: q.tier.classPriority, cost: cost, share: s.share.Quota}
+}
+
 // countQuota counts the use of a request that is granted. It counts once, however often it
 // is granted.
 func (s *Shard) countQuota(now time.Time, q *request) {
@@ -261,7 +273,7 @@
 // refundQuota gives back what a request was charged that did not run.
 func (s *Shard) refundQuota(now time.Time, q *request) {
 	if q.charged > 0 {
-		s.quotas.release(now, q.Account, q.Front, q.charged, q.counted)
+		s.quotas.release(now, s.charge(q, q.charged), q.Front, q.counted)
 	}
 	q.charged = 0
 }
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -230,7 +230,7 @@
 		_, decisions := b.ask("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = cost })
 		require.Len(t, granted(decisions), 1)
 	}
-	state, wait := other.takeQuota(b.now, &request{Register: wire.Register{Account: "metered", QuotaCost: 100}})
+	state, wait := other.takeQuota(b.now, &request{tier: b.shard.tiers[0], Register: wire.Register{Account: "metered", QuotaCost: 100}})
 	require.NotNil(t, state)
 	require.Equal(t, object.AccountName("metered"), state.Account)
 	require.InDelta(t, 100, state.Cost, 0)
--- a/internal/pool/shard/usewindow.go
+++ b/internal/pool/shard/usewindow.go
@@ -44,19 +44,30 @@
 
 // Sum returns what was used in the last span of time, and in the rest of its oldest step.
 func (w *UseWindow) Sum(now time.Time, span time.Duration) float64 {
+	w.step(now)
 	sum := 0.0
-	for _, cost := range w.Recent(now, span) {
-		sum += cost
+	for age := range w.count(span) {
+		sum += w.ago(age)
 	}
 	return sum
 }
 
+// count returns how many steps a span has, with a part of its oldest.
+func (w *UseWindow) count(span time.Duration) int64 {
+	return min(int64(span/UseStep)+1, int64(len(w.costs)), w.newest+1)
+}
+
+// ago returns the use of the step of an age, counted from the newest.
+func (w *UseWindow) ago(age int64) float64 {
+	return w.costs[(w.newest-age)%int64(len(w.costs))]
+}
+
 // FreeAfter returns the time after which a part of the use of the last span is older than
 // the span, at most the span.
 func (w *UseWindow) FreeAfter(now time.Time, span time.Duration, part float64) time.Duration {
-	costs := w.Recent(now, span)
-	for age := len(costs) - 1; age >= 0; age-- {
-		part -= costs[age]
+	w.step(now)
+	for age := w.count(span) - 1; age >= 0; age-- {
+		part -= w.ago(age)
 		if part <= 0 {
 			return max(span-time.Duration(age)*UseStep, 0)
 		}
@@ -67,10 +78,9 @@
 // Recent returns the steps of the last span of time, the newest first.
 func (w *UseWindow) Recent(now time.Time, span time.Duration) []float64 {
 	w.step(now)
-	count := min(int64(span/UseStep)+1, int64(len(w.costs)), w.newest+1)
-	recent := make([]float64, 0, count)
-	for age := range count {
-		recent = append(recent, w.costs[(w.newest-age)%int64(len(w.costs))])
+	recent := make([]float64, 0, w.count(span))
+	for age := range w.count(span) {
+		recent = append(recent, w.ago(age))
 	}
 	return recent
 }
