The host with the arbiter is named to fewer callers

Ruled out: the cost of a message (a profile of the link: decoding a quarter, HTTP/2 and system calls a third, the decision a seventh; none of them can be cut by more than half). Change: the list of addresses names the arbiter's host to so many callers that it has as much to do as the others, at least a quarter. The arbiter of shared pools no longer depends on the zones of a pool, so that all pools agree on it. Test: TestHostWithTheArbiterGetsFewerCallers (the former lists name it to all).

--- a/internal/entry/gateway/addresses.go
+++ b/internal/entry/gateway/addresses.go
@@ -29,19 +29,45 @@
 	return router
 }
 
+const (
+	// arbitrationCost is the processor time that a request takes at its arbiter, as a part of
+	// what it takes at its front.
+	arbitrationCost = 0.14
+	// minArbiterShare is the part of a usual front's requests that the host with the arbiter
+	// gets at least.
+	minArbiterShare = 0.25
+	// minAddresses is the number of addresses that a caller gets if there are as many.
+	minAddresses = 4
+)
+
+// arbiterShare returns the part of a usual front's requests with which the host of the arbiter
+// has as much to do as the others.
+func arbiterShare(hosts int) float64 {
+	others := float64(hosts - 1)
+	return min(max((1-others*arbitrationCost)/(1+arbitrationCost), minArbiterShare), 1)
+}
+
 // chooseAddresses returns the addresses for one caller. Callers use all of them alike, so a
-// weak host is named to part of the callers only, by its capacity. random returns a number
-// from 0 to 1.
-func chooseAddresses(live []board.Member, random func() float64) []string {
+// weak host, or one that arbitrates for all, is named to part of the callers only. random
+// returns a number from 0 to 1.
+func chooseAddresses(live []board.Member, arbiter string, random func() float64) []string {
+	weights := make([]float64, len(live))
 	highest := 0.0
-	for _, m := range live {
-		highest = max(highest, m.Capacity)
+	for i, m := range live {
+		weights[i] = m.Capacity
+		if m.Capacity == 0 {
+			weights[i] = 1
+		}
+		if m.Name == arbiter {
+			weights[i] *= arbiterShare(len(live))
+		}
+		highest = max(highest, weights[i])
 	}
 	var chosen, others []string
-	for _, m := range live {
+	for i, m := range live {
 		switch {
 		case m.Leaving:
-		case highest == 0 || random() < m.Capacity/highest:
+		case random() < weights[i]/highest:
 			chosen = append(chosen, m.CallerURL)
 		default:
 			others = append(others, m.CallerURL)
@@ -52,11 +78,10 @@
 	return append(chosen, others[:missing]...)
 }
 
-// minAddresses is the number of addresses that a caller gets if there are as many.
-const minAddresses = 4
-
 func (s *Server) resolve(c *gin.Context) {
-	addresses := chooseAddresses(s.board.Members().Live, rand.Float64)
+	members := s.board.Members()
+	arbiter := members.Owner(board.SharedDuty, nil, func(board.Member) bool { return true })
+	addresses := chooseAddresses(members.Live, arbiter.Name, rand.Float64)
 	// The list may be shortened for the caller.
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	if len(addresses) == 0 {
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -212,7 +212,7 @@
 	named := 0
 	step := 0.0
 	for range 100 {
-		addresses := chooseAddresses(live, func() float64 { step += 0.37; return step - float64(int(step)) })
+		addresses := chooseAddresses(live, "", func() float64 { step += 0.37; return step - float64(int(step)) })
 		require.Contains(t, addresses, "strong")
 		require.NotContains(t, addresses, "leaving")
 		if slices.Contains(addresses, "weak") {
@@ -220,9 +220,42 @@
 		}
 	}
 	require.InDelta(t, 25, named, 5)
-	few := chooseAddresses(live[:2], func() float64 { return 0.99 })
+	few := chooseAddresses(live[:2], "", func() float64 { return 0.99 })
 	require.Equal(t, []string{"strong", "weak"}, few, "a caller gets some to choose from")
-	require.Len(t, chooseAddresses([]board.Member{{CallerURL: "a"}}, func() float64 { return 0.5 }), 1)
+	require.Len(t, chooseAddresses([]board.Member{{CallerURL: "a"}}, "", func() float64 { return 0.5 }), 1)
+}
+
+// TestHostWithTheArbiterGetsFewerCallers checks that it has as much to do as the others.
+func TestHostWithTheArbiterGetsFewerCallers(t *testing.T) {
+	for _, hosts := range []int{1, 2, 6, 8, 72} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			var live []board.Member
+			for i := range hosts {
+				live = append(live, board.Member{Name: fmt.Sprint(i), CallerURL: fmt.Sprint(i), Capacity: 0.4})
+			}
+			requests := make([]float64, hosts) // Of a caller each, spread over its addresses.
+			step, callers := 0.0, 1000
+			for range callers {
+				addresses := chooseAddresses(live, "0", func() float64 { step += 0.377; return step - float64(int(step)) })
+				for _, address := range addresses {
+					i, err := strconv.Atoi(address)
+					require.NoError(t, err)
+					requests[i] += 1 / float64(len(addresses))
+				}
+			}
+			last := requests[hosts-1]
+			require.Greater(t, requests[0], 0.2*last, "it still serves callers")
+			if hosts < minAddresses {
+				require.InDelta(t, last, requests[0], 0, "all are named")
+				return
+			}
+			require.Less(t, requests[0], 0.4*last)
+			if share := arbiterShare(hosts); share > minArbiterShare {
+				load := requests[0] + float64(callers)*arbitrationCost
+				require.InDelta(t, last, load, 0.15*last)
+			}
+		})
+	}
 }
 
 // TestTargetThatAnswersWithErrorsIsTakenOut sends requests one after the other, so that a
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -21,9 +21,6 @@
 const (
 	// suspicion is how long an arbiter is avoided after its link has failed.
 	suspicion = 2 * time.Second
-	// sharedDuty stands for all pools whose targets are discovered. They have one arbiter,
-	// because quotas hold for all pools together.
-	sharedDuty object.PoolName = "discovered-pools"
 	// unusedRetryAfter is the retry hint when no arbiter has decided.
 	unusedRetryAfter = time.Second
 )
@@ -131,10 +128,10 @@
 	var zones map[object.Zone]bool
 	if config := c.board.Config(); config != nil && config.Pool(pool) != nil {
 		view := config.Pool(pool)
-		zones = view.Zones
 		if view.Discovered {
-			return c.sharedLink(members, zones)
+			return c.sharedLink(members)
 		}
+		zones = view.Zones
 	}
 	return c.linkTo(members, members.Owner(pool, zones, c.usable))
 }
@@ -143,12 +140,12 @@
 // link to that arbiter is open, the best one with an open link is used, in the end this
 // host itself: such pools are shared by arbiters that do not know of each other, so no
 // request has to wait for a connection.
-func (c *Client) sharedLink(members *board.Members, zones map[object.Zone]bool) link {
-	l := c.linkTo(members, members.Owner(sharedDuty, zones, c.usable))
+func (c *Client) sharedLink(members *board.Members) link {
+	l := c.linkTo(members, members.Owner(board.SharedDuty, nil, c.usable))
 	if l.ready() {
 		return l
 	}
-	return c.linkTo(members, members.Owner(sharedDuty, zones, c.connected))
+	return c.linkTo(members, members.Owner(board.SharedDuty, nil, c.connected))
 }
 
 // connected reports whether a link to the member is open. That to this host always is.
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -175,6 +175,10 @@
 	return best
 }
 
+// SharedDuty stands for all pools whose targets are discovered. They have one arbiter,
+// because quotas hold for all pools together.
+const SharedDuty object.PoolName = "discovered-pools"
+
 // strongShare is the part of the capacity of the strongest host that makes a host strong.
 const strongShare = 0.7
 
