Late requests that cannot soon be served are refused at once

Change: a request that becomes late is refused, with when to come back, if more late requests of its class wait than free slots or 0.3 s of the class's grants could take.

--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -40,6 +40,9 @@
 	// the mean time within which one in time should get it. Both are 0 if unknown; the
 	// demand of those in time keeps them for the whole class.
 	holding, patience time.Duration
+	// grants is how many requests of the class are granted a second; that of those in time
+	// counts for the whole class.
+	grants frequency
 }
 
 const (
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -43,6 +43,7 @@
 		q.account.charge(q.cost)
 		q.tier.fixAccount(q.account)
 		s.countQuota(now, q)
+		s.demandOf(now, rank{class: q.tier.classPriority}).grants.add(now)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
 		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt)})
@@ -79,6 +80,9 @@
 		q := s.timers.first()
 		if q.dueAt.Before(q.giveUpAt) {
 			s.demote(q)
+			if s.backlogged(now, q) {
+				s.refuse(now, q, outcome.QueueFull)
+			}
 			continue
 		}
 		if s.lowerRunning(q.tier) {
