explain passes over lines that are too long; large files split by job

explain failed on a log with a line of over 1 MB (of another program); such lines are passed over now (TestExplainPutsTheLogsOfHostsTogether fails before). Split without change of behaviour: the gateway's registration and sending, the messages and the transport of heartbeats, the calls of the stand-in store.

--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -1,22 +1,15 @@
 package member
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"redwinglock/internal/peer/http2"
-	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/platform/hosts"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
@@ -334,39 +327,3 @@
 	m.mu.Unlock()
 	m.publish()
 }
-
-// HTTPTransport sends heartbeats as JSON over HTTP.
-type HTTPTransport struct {
-	Client *http2.Client
-	Key    string
-}
-
-// maxHeartbeatBytes bounds a heartbeat.
-const maxHeartbeatBytes = 256 << 10
-
-// Send implements Transport.
-func (t *HTTPTransport) Send(ctx context.Context, peerURL string, h Heartbeat) (Heartbeat, error) {
-	content, err := json.Marshal(h)
-	if err != nil {
-		return Heartbeat{}, fmt.Errorf("encode heartbeat: %w", err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, peerURL+wire.HeartbeatPath, bytes.NewReader(content))
-	if err != nil {
-		return Heartbeat{}, fmt.Errorf("send heartbeat: %w", err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(wire.KeyHeader, t.Key)
-	response, err := t.Client.Do(request)
-	if err != nil {
-		return Heartbeat{}, fmt.Errorf("send heartbeat: %w", err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return Heartbeat{}, fmt.Errorf("send heartbeat: status %d", response.StatusCode)
-	}
-	var answer Heartbeat
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxHeartbeatBytes)).Decode(&answer); err != nil {
-		return Heartbeat{}, fmt.Errorf("decode heartbeat: %w", err)
-	}
-	return answer, nil
-}
--- a/internal/entry/command/explain.go
+++ b/internal/entry/command/explain.go
@@ -11,7 +11,7 @@
 	"strings"
 )
 
-// maxLogLine bounds one line of a log.
+// maxLogLine is the length from which a line is passed over. Hosts write none as long.
 const maxLogLine = 1 << 20
 
 // logLine is a line of a host's log with what is needed to find a request in it.
@@ -55,21 +55,31 @@
 	}
 	defer f.Close()
 	var lines []logLine
-	scanner := bufio.NewScanner(f)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		_, text, found := strings.Cut(scanner.Text(), "{")
-		line := logLine{file: file, text: "{" + text}
-		// Other programs may write to the same log; their lines are passed over.
-		if !found || json.Unmarshal([]byte(line.text), &line) != nil || line.Request == "" {
-			continue
+	reader := bufio.NewReaderSize(f, maxLogLine)
+	for goesOn := false; ; {
+		content, more, err := reader.ReadLine()
+		if errors.Is(err, io.EOF) {
+			return lines, nil
 		}
-		lines = append(lines, line)
+		if err != nil {
+			return nil, fmt.Errorf("read log %s: %w", file, err)
+		}
+		if line, found := parseLine(file, string(content)); found && !goesOn && !more {
+			lines = append(lines, line)
+		}
+		goesOn = more
 	}
-	if err := scanner.Err(); err != nil {
-		return nil, errors.Join(fmt.Errorf("read log %s", file), err)
+}
+
+// parseLine returns what a line tells of a request. Other programs may write to the same log;
+// their lines are passed over.
+func parseLine(file, content string) (logLine, bool) {
+	_, text, found := strings.Cut(content, "{")
+	line := logLine{file: file, text: "{" + text}
+	if !found || json.Unmarshal([]byte(line.text), &line) != nil {
+		return logLine{}, false
 	}
-	return lines, nil
+	return line, line.Request != ""
 }
 
 // linesOf returns the lines of one request: those with its id, and those of other hosts
--- a/internal/entry/command/explain_test.go
+++ b/internal/entry/command/explain_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -33,6 +34,12 @@
 			require.Contains(t, string(lines[2]), "failed")
 		})
 	}
+	long := filepath.Join(dir, "long.log")
+	content := strings.Repeat("x", 3*maxLogLine) + "\n" + `{"time":"2026-12-04T05:00:02Z","request":"d-1","msg":"after a long line"}` + "\n"
+	require.NoError(t, os.WriteFile(long, []byte(content), 0o600))
+	var out bytes.Buffer
+	require.NoError(t, Explain("d-1", []string{long}, &out))
+	require.Contains(t, out.String(), "after a long line")
 	require.Equal(t, ExitInvalid, ExitCode(Explain("c-404", []string{front}, &bytes.Buffer{})))
 	require.Equal(t, ExitFailed, ExitCode(Explain("c-9", []string{dir + "/none"}, &bytes.Buffer{})))
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -279,3 +280,10 @@
 	Reason  outcome.Reason  `json:"reason"`
 	Message string          `json:"message"`
 }
+
+func pickBelow(n int) int {
+	if n <= 1 {
+		return 0
+	}
+	return rand.IntN(n)
+}
--- /dev/null
+++ b/internal/entry/gateway/send.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"redwinglock/internal/fleet/passthrough"
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+// errCallerGone says that the answer could not be passed on because the caller has left.
+var errCallerGone = errors.New("caller has gone")
+
+// errNotRun says that the target has not run the request.
+var errNotRun = errors.New("target has not run the request")
+
+// send sends the request to one target and passes the answer on. After an error that is
+// neither errNotRun nor passthrough.ErrNotSent the request may have run.
+func (s *Server) send(ctx context.Context, caller *http.Request, r *request, target *object.Target, a *answer) (wire.Finish, error) {
+	left := time.Until(r.deadline)
+	if left < minLeft {
+		<-ctx.Done()
+		return wire.Finish{}, passthrough.ErrNotSent
+	}
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	call := passthrough.Call{
+		Address:    target.Address,
+		Method:     caller.Method,
+		URI:        caller.RequestURI,
+		Host:       caller.Host,
+		Header:     forwardedHeader(caller.Header),
+		Body:       r.body,
+		Repeatable: r.route.Repeatable() && len(r.body) == 0,
+	}
+	dispatch := Dispatch{Target: target.Name, Left: left, LastEventID: a.events.lastID}
+	if r.account != nil {
+		dispatch.Account = r.account.Name
+	}
+	s.dialect.WriteDispatch(call.Header, dispatch)
+	sentAt := time.Now()
+	response, err := s.targets.Do(sendCtx, call)
+	if errors.Is(err, passthrough.ErrNotSent) {
+		return wire.Finish{}, err
+	}
+	if err != nil {
+		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s: %v", target.Name, err)
+	}
+	defer response.Body.Close()
+	failed := response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
+	if err := s.checkReply(r, a, target, response, failed); err != nil {
+		return wire.Finish{}, err
+	}
+	measure, err := a.copy(response)
+	finish := wire.Finish{
+		Dispatched:   true,
+		Failed:       failed,
+		Completed:    err == nil && response.StatusCode < http.StatusMultipleChoices,
+		PromptTokens: r.demand.PromptTokens,
+	}
+	if measure.events > 0 {
+		eventTokens := r.eventTokens()
+		finish.FirstTokenMS = measure.first.Sub(sentAt).Milliseconds()
+		finish.OutputTokens = measure.events * eventTokens
+		finish.DecodeUS = measure.tokenTime(eventTokens).Microseconds()
+	}
+	if errors.Is(err, errCallerGone) {
+		return finish, err
+	}
+	if err != nil {
+		return finish, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s: %v", target.Name, err)
+	}
+	s.logAnswer(r, target, response.StatusCode, sentAt, finish)
+	return finish, nil
+}
+
+// checkReply returns why an answer must not be passed on, or nil. failed answers are errors
+// of the target itself.
+func (s *Server) checkReply(r *request, a *answer, target *object.Target, response *http.Response, failed bool) error {
+	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
+	switch {
+	case reply.NotRun:
+		r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode, "wrong-target": reply.Wrong}).Info("Target refused.")
+		return errNotRun
+	case reply.ID != r.demand.ID:
+		return outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s answered another request", target.Name)
+	case response.StatusCode < http.StatusMultipleChoices && !reply.Sealed:
+		return outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s did not seal its answer", target.Name)
+	case a.started && response.StatusCode != http.StatusOK:
+		return outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s did not resume: status %d", target.Name, response.StatusCode)
+	case failed && s.repeatsError(r, a):
+		return outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s answered with status %d", target.Name, response.StatusCode)
+	}
+	return nil
+}
+
+// logAnswer writes one line about an answered request.
+func (s *Server) logAnswer(r *request, target *object.Target, status int, sentAt time.Time, f wire.Finish) {
+	now := time.Now()
+	s.latency(r, "request_time").Record(now.Sub(r.arrived))
+	s.latency(r, "queue_delay").Record(sentAt.Sub(r.arrived))
+	if f.FirstTokenMS > 0 {
+		s.latency(r, "first_token").Record(time.Duration(f.FirstTokenMS) * time.Millisecond)
+		s.latency(r, "between_tokens").Record(time.Duration(f.DecodeUS) * time.Microsecond)
+	}
+	if !s.routine.Allow(now) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"route": r.route.Name, "tier": r.tier(), "class": r.route.Tier, "target": target.Name, "status": status, "attempts": r.attempts,
+		"waited-ms": sentAt.Sub(r.arrived).Milliseconds(), "first-ms": f.FirstTokenMS, "total-ms": now.Sub(r.arrived).Milliseconds(),
+		"prompt-tokens": r.demand.PromptTokens, "output-tokens": r.demand.OutputTokens,
+		"config-revision": r.snapshot.Revision, "target-revision": r.snapshot.TargetRevision,
+	}).Info("Request answered.")
+}
+
+func (s *Server) latency(r *request, name string) tally.Timer {
+	return s.common.Metrics.Tagged(map[string]string{"tier": string(r.tier()), "pool": string(r.pool)}).Timer(name)
+}
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwardedHeader returns the headers of a message without those of its connection.
+func forwardedHeader(h http.Header) http.Header {
+	forwarded := h.Clone()
+	for _, name := range h.Values("Connection") {
+		forwarded.Del(name)
+	}
+	for _, name := range connectionHeaders {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
