--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -332,6 +332,7 @@
 	if d.Quota != nil {
 		log = log.WithFields(logrus.Fields{
 			"account": d.Quota.Account, "quota-cost": d.Quota.Cost, "quota-used": d.Quota.Used, "quota-limit": d.Quota.Limit,
+			"class-used": d.Quota.ClassUsed, "class-limit": d.Quota.ClassLimit,
 		})
 	}
 	log.WithFields(logrus.Fields{
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -45,6 +45,9 @@
 	// Used is what the account has used in the last window, with what its waiting requests
 	// will use and the part that nobody remembers, and Limit what it may.
 	Used, Limit float64
+	// ClassUsed is what the class of the request and less urgent ones have used of it, and
+	// ClassLimit what more urgent requests leave to them; both 0 if there is no window.
+	ClassUsed, ClassLimit float64
 }
 
 // Cancel stops a running request so that a higher tier gets its slot.
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -162,10 +162,13 @@
 	window := time.Duration(quota.Window)
 	limit := c.share * (quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*toleranceShare)
 	used := use.granted.Sum(now, window) + use.waiting + limit*q.unknownPart(now, window)
-	missing := max(used+c.cost-limit, use.missingFor(now, window, limit, c))
+	classUsed, classLimit := use.classPart(now, window, limit, c)
+	missing := max(used+c.cost-limit, classUsed+c.cost-classLimit)
 	if missing > 0 {
 		wait := use.granted.FreeAfter(now, window, missing)
-		return &QuotaState{Account: c.account, Cost: c.cost, Used: used, Limit: limit}, wait
+		return &QuotaState{
+			Account: c.account, Cost: c.cost, Used: used, Limit: limit, ClassUsed: classUsed, ClassLimit: classLimit,
+		}, wait
 	}
 	use.waiting += c.cost
 	use.class(now, c).admitted.Add(now, c.cost)
--- a/internal/pool/shard/quotaclass.go
+++ b/internal/pool/shard/quotaclass.go
@@ -30,17 +30,16 @@
 	return k
 }
 
-// missingFor notes what a request asks for, and returns how much less its class and the less
-// urgent ones would have to use of the window to leave more urgent requests of the account at
-// the same pool what these asked for in the last window.
-func (u *quotaUse) missingFor(now time.Time, window time.Duration, limit float64, c charge) float64 {
+// classPart notes what a request asks for, and returns what its class and the less urgent ones
+// have been admitted in the window, and how much of it they may use: more urgent requests of
+// the account at the same pool are left what these asked for in the last window.
+func (u *quotaUse) classPart(now time.Time, window time.Duration, limit float64, c charge) (used, left float64) {
 	own := u.class(now, c)
 	own.asked.Add(now, c.cost)
 	if own.admitted.Sum(now, window)+c.cost <= limit*minQuotaShare {
-		return 0
+		return 0, limit
 	}
-	left := limit
-	used := c.cost
+	left = limit
 	for _, k := range u.classes {
 		switch {
 		case k.pool != c.pool:
@@ -50,5 +49,5 @@
 			used += k.admitted.Sum(now, window)
 		}
 	}
-	return used - left
+	return used, max(left, 0)
 }
--- a/internal/pool/shard/quotaclass_test.go
+++ b/internal/pool/shard/quotaclass_test.go
@@ -54,6 +54,10 @@
 					}
 					for range count {
 						_, decisions := b.ask(class, func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 1 })
+						for _, r := range refusals(decisions) {
+							passed := r.Quota.Used+r.Quota.Cost > r.Quota.Limit || r.Quota.ClassUsed+r.Quota.Cost > r.Quota.ClassLimit
+							require.True(t, passed, "a refusal tells what it rested on")
+						}
 						if tick >= 80 { // The first window has room for all.
 							asked[class]++
 							refused[class] += float64(len(refusals(decisions)))
