A lowered quota comes into force over a window

Ruled out: the limit that the operators bind (it binds one window after the change). Change: the limit of the window goes from the former to the new one over one window; a higher one is in force at once. Test: TestLoweredQuotaComesIntoForceOverAWindow.

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -38,6 +38,7 @@
 	fronts  map[wire.HostID]*UseWindow
 	// classes are the kinds of requests of the account.
 	classes []*classUse
+	limit   windowLimit
 	// waiting is what admitted requests will use that wait for a target.
 	waiting float64
 	// bucket limits the account if its quota has no window.
@@ -160,7 +161,7 @@
 		return use.takeFromBucket(now, quota, c)
 	}
 	window := time.Duration(quota.Window)
-	limit := c.share * (quota.PerSecond*window.Seconds() + quota.Burst + quota.Tolerated()*toleranceShare)
+	limit := c.share * use.limit.follow(now, window, quota.PerSecond*window.Seconds()+quota.Burst+quota.Tolerated()*toleranceShare)
 	used := use.granted.Sum(now, window) + use.waiting + limit*q.unknownPart(now, window)
 	classUsed, classLimit := use.classPart(now, window, limit, c)
 	missing := max(used+c.cost-limit, classUsed+c.cost-classLimit)
@@ -175,6 +176,27 @@
 	return nil, 0
 }
 
+// windowLimit follows the limit of an account. One that is lowered comes into force over a
+// window, because what was used under the former limit counts in it.
+type windowLimit struct {
+	set, before float64
+	changedAt   time.Time
+}
+
+// follow takes the limit that is set now and returns the one in force.
+func (l *windowLimit) follow(now time.Time, window time.Duration, set float64) float64 {
+	if set != l.set {
+		l.before = max(l.inForce(now, window), set)
+		l.set, l.changedAt = set, now
+	}
+	return l.inForce(now, window)
+}
+
+func (l *windowLimit) inForce(now time.Time, window time.Duration) float64 {
+	left := max(1-now.Sub(l.changedAt).Seconds()/window.Seconds(), 0)
+	return l.set + (l.before-l.set)*left
+}
+
 // windowed reports whether the use of each window is limited. Otherwise a rate is.
 func windowed(quota *object.Quota) bool {
 	return quota.Window > 0 && time.Duration(quota.Window) <= UseSpan
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -292,6 +292,38 @@
 	require.Greater(t, len(sent), 100)
 }
 
+// TestLoweredQuotaComesIntoForceOverAWindow lowers the quota of an account that has used all of
+// it, and that keeps to the new one from then on.
+func TestLoweredQuotaComesIntoForceOverAWindow(t *testing.T) {
+	quota := object.Quota{PerSecond: 1000, Burst: 1000, PlainTokens: 1, Window: object.Duration(8 * time.Second)}
+	for _, test := range []struct {
+		name      string
+		perSecond float64 // Of the new quota.
+	}{
+		{"to a half", 500},
+		{"to a tenth", 100},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newQuotaFronts(4, &quota)
+			spend := func(seconds int, perSecond float64) (refused int) {
+				for range seconds * 10 {
+					if !f.ask(0, perSecond/10) {
+						refused++
+					}
+					f.now = f.now.Add(100 * time.Millisecond)
+				}
+				return refused
+			}
+			require.Zero(t, spend(20, 1000))
+			lowered := quota
+			lowered.PerSecond = test.perSecond
+			f.quota = &lowered
+			require.Zero(t, spend(20, test.perSecond), "requests within the new quota")
+			require.Positive(t, spend(20, 2*test.perSecond+200), "the new quota is in force")
+		})
+	}
+}
+
 // TestFloodUsesTheWindowFromItsStart replays an account that sends six times as much for
 // six seconds. What the window still holds is given out when it is asked for.
 func TestFloodUsesTheWindowFromItsStart(t *testing.T) {
