--- a/internal/bench/decisions/engine.go
+++ b/internal/bench/decisions/engine.go
@@ -25,10 +25,13 @@
 	id       int
 	account  object.AccountName
 	tier     object.TierName
+	kind     *kind // Of the sheets; nil in the other loads.
 	prompt   int
 	output   int
 	prefix   int // Identifies the shared leading half of the prompt.
 	arrived  time.Duration
+	asked    time.Duration // When it came, or came back after a refusal.
+	returned bool
 	deadline time.Duration // For the first token, after the arrival.
 
 	engine     *engine
--- a/internal/bench/decisions/policies.go
+++ b/internal/bench/decisions/policies.go
@@ -37,6 +37,10 @@
 	jobs     map[wire.RequestID]*job
 	running  map[object.TierName]int
 	ticking  bool
+	// register says what a front tells about a job, and refused what a caller does whose job
+	// was refused.
+	register func(*world, *job) wire.Register
+	refused  func(w *world, j *job, after time.Duration)
 	// broken counts refusals of a higher tier while a lower one was served.
 	broken int
 }
@@ -60,7 +64,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("create scheduler: %w", err)
 	}
-	p := &scheduler{snapshot: snapshot, jobs: map[wire.RequestID]*job{}, running: map[object.TierName]int{}}
+	p := &scheduler{snapshot: snapshot, jobs: map[wire.RequestID]*job{}, running: map[object.TierName]int{}, register: registration}
+	p.refused = p.noteRefusal
 	p.shard = shard.New(pool, shard.NewQuotas())
 	p.shard.Configure(epoch, snapshot, nil)
 	return p, nil
@@ -77,7 +82,7 @@
 }
 
 func (p *scheduler) arrive(w *world, j *job) {
-	r := registration(w, j)
+	r := p.register(w, j)
 	p.jobs[r.ID] = j
 	p.carryOut(w, p.shard.Register(epoch.Add(w.now), r))
 }
@@ -103,7 +108,7 @@
 		if j == nil || j.ended || j.refused {
 			continue
 		}
-		r := registration(w, j)
+		r := p.register(w, j)
 		r.Moved = true
 		if j.engine != nil {
 			r.Phase = wire.Running
@@ -125,13 +130,7 @@
 				}
 			}
 		case shard.Refuse:
-			j := p.jobs[d.ID]
-			j.ended, j.refused = true, true
-			for _, t := range tiers {
-				if t.priority < priorityOf(j.tier) && p.running[t.name] > 0 {
-					p.broken++
-				}
-			}
+			p.refused(w, p.jobs[d.ID], d.RetryAfter)
 		case shard.Cancel:
 			j := p.jobs[d.ID]
 			w.at(w.now+time.Millisecond, func() { w.cancel(j) })
@@ -140,6 +139,16 @@
 	p.tick(w)
 }
 
+// noteRefusal ends a job, whose caller does not come back.
+func (p *scheduler) noteRefusal(_ *world, j *job, _ time.Duration) {
+	j.ended, j.refused = true, true
+	for _, t := range tiers {
+		if t.priority < priorityOf(j.tier) && p.running[t.name] > 0 {
+			p.broken++
+		}
+	}
+}
+
 func (p *scheduler) tick(w *world) {
 	if p.ticking || p.shard.Waiting() == 0 {
 		return
@@ -202,6 +211,7 @@
 type firstCome struct {
 	queue    []*job
 	inFlight map[*engine]int
+	slots    int // Of each engine.
 }
 
 func (f *firstCome) arrive(w *world, j *job) {
@@ -222,7 +232,7 @@
 				best = e
 			}
 		}
-		if f.inFlight[best] >= startSlots {
+		if f.inFlight[best] >= f.slots {
 			return
 		}
 		j := f.queue[0]
--- a/internal/bench/decisions/report.go
+++ b/internal/bench/decisions/report.go
@@ -139,20 +139,31 @@
 				printRow(out, name, runs)
 			}
 		}
-		for _, b := range bounds(ours) {
-			verdict := "ok    "
-			if !b.holds() {
-				verdict = "MISSED"
-				missed++
-			}
-			sign := "<="
-			if b.least {
-				sign = ">="
-			}
-			fmt.Fprintf(out, "%s %-75s %.4f %s %.4f\n", verdict, b.name, b.value, sign, b.want)
+		missed += printBounds(out, bounds(ours))
+	}
+	sheets, err := runSheets(out, seeds)
+	if err != nil {
+		return 0, err
+	}
+	return missed + sheets, nil
+}
+
+// printBounds prints a line for each bound and returns the number of those missed.
+func printBounds(out io.Writer, bounds []bound) int {
+	missed := 0
+	for _, b := range bounds {
+		verdict := "ok    "
+		if !b.holds() {
+			verdict = "MISSED"
+			missed++
+		}
+		sign := "<="
+		if b.least {
+			sign = ">="
 		}
+		fmt.Fprintf(out, "%s %-75s %.4f %s %.4f\n", verdict, b.name, b.value, sign, b.want)
 	}
-	return missed, nil
+	return missed
 }
 
 func repeat(st site, s scenario, name string, capacity float64, seeds int) ([]outcome, error) {
--- a/internal/bench/decisions/scenarios.go
+++ b/internal/bench/decisions/scenarios.go
@@ -159,7 +159,7 @@
 	case "two choices":
 		return &direct{pick: twoChoices, age: age, random: random}, nil
 	case "first come":
-		return &firstCome{inFlight: map[*engine]int{}}, nil
+		return &firstCome{inFlight: map[*engine]int{}, slots: startSlots}, nil
 	}
 	return nil, fmt.Errorf("unknown policy %q", name)
 }
