A client of arbiters that closes opens no new link

A request that is moved while its client closes opens a link that Close does not know of and does not wait for, or waits for without end, because nothing closes it. Change: a client that was closed hands out a link that drops what is sent.

--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -179,6 +179,9 @@
 	if l := c.links[owner.PeerURL]; l != nil && !l.failed() {
 		return l
 	}
+	if c.ctx.Err() != nil {
+		return endedLink{} // Close would not wait for another one.
+	}
 	self := c.board.Members().Self.Run
 	var l link
 	if owner.PeerURL == "" {
--- a/internal/peer/arbiter/link.go
+++ b/internal/peer/arbiter/link.go
@@ -69,6 +69,14 @@
 	_ = l.session.Close()
 }
 
+// endedLink is the link of a client that was closed. It drops what is sent.
+type endedLink struct{}
+
+func (endedLink) send(wire.Up) {}
+func (endedLink) failed() bool { return true }
+func (endedLink) ready() bool  { return false }
+func (endedLink) close()       {}
+
 // remoteLink leads to another process over one HTTP/2 stream.
 type remoteLink struct {
 	client *Client
