Less of the tolerated excess of a quota is given out

Ruled out: nothing yet. Suspected: a front that is paused between the grant and the sending of requests sends them later than they are counted. Change: 0.75 of the tolerated excess is given out (0.9); the former buckets had kept more back most of the time.

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -13,8 +13,9 @@
 	// so that one inside its limit is not refused because its requests arrive bunched.
 	quotaMargin = 0.02
 	// toleranceShare is the part of the tolerated excess that is given out. The rest covers
-	// fronts that were lost and can no longer tell what they have used.
-	toleranceShare = 0.9
+	// fronts that were lost and can no longer tell what they have used, and requests that a
+	// paused front sends later than they were granted.
+	toleranceShare = 0.75
 )
 
 // bucket is a token bucket.
