Streams whose events never end are given up

Cause: eventSplitter kept every byte until the end of an event came, and searched all of it anew at each read. A target that sends bytes without such an end filled the memory of its host until the deadline of the request, and one whose head was good but whose body was none left the caller with a closed connection instead of an answer. Ruled out by the same test: status line, headers, 1xx answers, chunk sizes, extensions and trailers without end are given up by the library at its bounds (64 KB of header) at once. The header goes to the caller with the first event, so that a failure before it is a whole 502.

--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -45,12 +45,9 @@
 	if !stream {
 		return measure{}, a.copyPlain(response)
 	}
-	if !a.started {
-		a.start(response)
-	}
 	// The new target sends an event again of which the one before sent only a part.
 	a.events.reset()
-	return a.copyStream(response.Body)
+	return a.copyStream(response)
 }
 
 // copyPlain passes a plain answer on once it is complete, so that one that is cut can be
@@ -76,19 +73,20 @@
 // maxHeldBytes bounds the part of a plain answer that is held until it is complete.
 const maxHeldBytes = 64 << 10
 
-// copyStream passes events on as they come.
-func (a *answer) copyStream(body io.Reader) (measure, error) {
+// copyStream passes events on as they come. The header goes with the first event: until then
+// the caller can still be told of a failure.
+func (a *answer) copyStream(response *http.Response) (measure, error) {
 	var m measure
 	buffer := make([]byte, copyBufferBytes)
 	for {
-		n, err := body.Read(buffer)
+		n, err := response.Body.Read(buffer)
 		if n > 0 {
-			if writeErr := a.write(buffer[:n], &m); writeErr != nil {
+			if writeErr := a.write(response, buffer[:n], &m); writeErr != nil {
 				return m, writeErr
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return m, a.end()
+			return m, a.end(response)
 		}
 		if err != nil {
 			return m, fmt.Errorf("read events: %w", err)
@@ -98,7 +96,11 @@
 
 const copyBufferBytes = 16 << 10
 
+// start sends the header to the caller, unless an answer that goes on has sent its own.
 func (a *answer) start(response *http.Response) {
+	if a.started {
+		return
+	}
 	header := a.writer.Header()
 	closing := header.Get("Connection")
 	for name, values := range forwardedHeader(response.Header) {
@@ -113,12 +115,16 @@
 }
 
 // write passes the events on that are whole by now.
-func (a *answer) write(content []byte, m *measure) error {
+func (a *answer) write(response *http.Response, content []byte, m *measure) error {
 	before := a.events.count
-	whole := a.events.add(content)
+	whole, err := a.events.add(content)
+	if err != nil {
+		return fmt.Errorf("split events: %w", err)
+	}
 	if len(whole) == 0 {
 		return nil
 	}
+	a.start(response)
 	m.last = time.Now()
 	m.events += a.events.count - before
 	if m.first.IsZero() {
@@ -133,7 +139,8 @@
 }
 
 // end passes on what remains after the last event of a complete stream.
-func (a *answer) end() error {
+func (a *answer) end(response *http.Response) error {
+	a.start(response)
 	if len(a.events.rest) == 0 {
 		return nil
 	}
--- a/internal/entry/gateway/answer_test.go
+++ b/internal/entry/gateway/answer_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -49,7 +51,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, _ := gin.CreateTestContext(httptest.NewRecorder())
 				a := &answer{writer: c.Writer, request: &request{route: &object.Route{Execution: object.Stream}}}
-				m, err := a.copyStream(&pieces{test.reads, 30 * time.Millisecond})
+				m, err := a.copyStream(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(&pieces{test.reads, 30 * time.Millisecond})})
 				require.NoError(t, err)
 				require.Equal(t, test.events, m.events)
 				require.Equal(t, test.tokenTime, m.tokenTime(3))
--- /dev/null
+++ b/internal/entry/gateway/endless_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endless takes over the connection, writes a beginning and then the same part again and
+// again until the gateway closes it.
+func endless(beginning, part string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer connection.Close()
+		block := bytes.Repeat([]byte(part), max(1, (16<<10)/len(part)))
+		_, err = connection.Write([]byte(beginning))
+		for err == nil {
+			_, err = connection.Write(block)
+		}
+	}
+}
+
+const (
+	okLine   = "HTTP/1.1 200 OK\r\n"
+	sealed   = okLine + "Id: id-1\r\nSeal: s\r\n"
+	chunked  = sealed + "Transfer-Encoding: chunked\r\n\r\n"
+	oneChunk = "9\r\ndata: x\n\n\r\n"
+)
+
+// TestEndlessBytesAreGivenUp plays targets whose bytes never make an answer. The caller gets
+// a final answer at once, from a sound target where the request may run again.
+func TestEndlessBytesAreGivenUp(t *testing.T) {
+	rows := []struct {
+		name, beginning, part string
+	}{
+		{"line of the status", "HTTP/1.1 200 ", "x"},
+		{"one header", okLine + "A: ", "x"},
+		{"headers", okLine, "A: b\r\n"},
+		{"informational answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"event without its end", sealed + "\r\n", "data: x"},
+		{"event of empty-looking lines", sealed + "\r\n", ":\r"},
+		{"event in chunks", chunked, "5\r\ndata:\r\n"},
+		{"size of a chunk", chunked, "0"},
+		{"extension of a chunk", chunked + "5;", "x"},
+		{"extensions of chunks", chunked, "1;" + strings.Repeat("x", 2000) + "\r\nx\r\n"},
+		{"trailer", chunked + "0\r\nA: ", "x"},
+		{"trailers", chunked + oneChunk + "0\r\n", "A: b\r\n"},
+	}
+	const within = 3 * time.Second // The route would wait for five.
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, endless(row.beginning, row.part), events(1, 3, false))
+			began := time.Now()
+			got := s.send("POST", "/fixed/x", "prompt")
+			require.Less(t, time.Since(began), within)
+			require.True(t, got.status == http.StatusBadGateway || got.err != nil, "status %d", got.status)
+			require.Equal(t, []int{1, 0}, s.runs(), "a stream that cannot be resumed runs once")
+			<-s.targets[0].done
+
+			s = newSite(t, endless(row.beginning, row.part), events(1, 3, false))
+			got = s.send("POST", "/resumed/x", "prompt")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, wholeStream(3), strings.TrimPrefix(got.body, "data: x\n\n"))
+		})
+	}
+}
+
+// TestEventSplitterHoldsABoundedPart feeds an event that never ends, and a long one that does.
+func TestEventSplitterHoldsABoundedPart(t *testing.T) {
+	part := bytes.Repeat([]byte("x"), copyBufferBytes)
+	var s eventSplitter
+	var err error
+	for range 4 * maxEventBytes / len(part) {
+		if _, err = s.add(part); err != nil {
+			break
+		}
+	}
+	require.ErrorIs(t, err, errEventTooLong)
+	require.LessOrEqual(t, len(s.rest), maxEventBytes)
+
+	s = eventSplitter{}
+	for range maxEventBytes/len(part) - 1 {
+		_, err = s.add(part)
+		require.NoError(t, err)
+	}
+	whole, err := s.add([]byte("\n\n"))
+	require.NoError(t, err)
+	require.Len(t, whole, maxEventBytes-len(part)+2)
+}
--- a/internal/entry/gateway/streams_test.go
+++ b/internal/entry/gateway/streams_test.go
@@ -68,13 +68,16 @@
 	}{
 		{"one event", []string{"id: 1\ndata: a\n\n"}, []string{"id: 1\ndata: a\n\n"}, "1"},
 		{"split event", []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, []string{"", "", "id: 1\ndata: a\n\n"}, "1"},
+		{"end in two parts", []string{"id: 1\n", "\n"}, []string{"", "id: 1\n\n"}, "1"},
 		{"two at once", []string{"id:1\n\nid:2\n\nid:3"}, []string{"id:1\n\nid:2\n\n"}, "2"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			var s eventSplitter
 			for i, chunk := range row.chunks {
-				require.Equal(t, row.want[i], string(s.add([]byte(chunk))))
+				whole, err := s.add([]byte(chunk))
+				require.NoError(t, err)
+				require.Equal(t, row.want[i], string(whole))
 			}
 			require.Equal(t, row.lastID, s.lastID)
 		})
