Arbiter: fronts are pruned at intervals, messages take the place of heartbeats

Two costs there grow with the fleet for nothing: each registration searched all fronts for silent ones, and both ends of a link wrote a heartbeat each 150 ms beside the messages. Ruled out: that the other side needs the heartbeat, its silence timer is reset by each message. Change: the search runs ten times a second at most, the heartbeat only after an interval without a message.

--- a/internal/peer/front/share.go
+++ b/internal/peer/front/share.go
@@ -11,6 +11,9 @@
 const (
 	// attachedFor is how long a front counts as served here after its last registration.
 	attachedFor = 3 * time.Second
+	// pruneInterval is the time between two searches for fronts that are silent. Each request
+	// is noted, and there may be hundreds of fronts.
+	pruneInterval = 100 * time.Millisecond
 	// rememberHosts is how long a host that has gone still counts for quotas: it may run on
 	// without being seen, and its share must not be used twice.
 	rememberHosts = 10 * time.Second
@@ -22,6 +25,8 @@
 type attachments struct {
 	mu   sync.Mutex
 	last map[*Session]time.Time // When each session last registered a request.
+	// prunedAt is when the fronts were last searched for silent ones.
+	prunedAt time.Time
 	// most remembers how many hosts were registered lately.
 	most recentMax
 }
@@ -31,10 +36,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.last[s] = now
-	for session, at := range a.last {
-		if now.Sub(at) > attachedFor {
-			delete(a.last, session)
-		}
+	if now.Sub(a.prunedAt) >= pruneInterval {
+		a.prunedAt = now
+		a.prune(now)
 	}
 	a.most.add(now, members.Registered)
 	return shard.Share{
@@ -43,6 +47,15 @@
 	}
 }
 
+// prune forgets the fronts that have been silent for too long. It needs the lock.
+func (a *attachments) prune(now time.Time) {
+	for session, at := range a.last {
+		if now.Sub(at) > attachedFor {
+			delete(a.last, session)
+		}
+	}
+}
+
 // drop forgets a session that has ended.
 func (a *attachments) drop(s *Session) {
 	a.mu.Lock()
--- a/internal/peer/wire/stream.go
+++ b/internal/peer/wire/stream.go
@@ -27,11 +27,11 @@
 
 // WriteLoop writes the messages of an outbox as JSON lines until the outbox or done is
 // closed. Messages that wait together are flushed together. When idle for the interval,
-// it writes an empty message as heartbeat.
+// it writes an empty message as heartbeat; a message is one as well.
 func WriteLoop[T any](w io.Writer, flush func(), box *Outbox[T], interval time.Duration, done <-chan struct{}) error {
 	buffer := bufio.NewWriter(w)
 	encoder := json.NewEncoder(buffer)
-	heartbeat := time.NewTicker(interval)
+	heartbeat := time.NewTimer(interval)
 	defer heartbeat.Stop()
 	for {
 		batch, open := box.Take()
@@ -47,6 +47,9 @@
 			return fmt.Errorf("flush messages: %w", err)
 		}
 		flush()
+		if len(batch) > 0 {
+			heartbeat.Reset(interval)
+		}
 		select {
 		case <-done:
 			return nil
