Heartbeats go to a few neighbours; all members are exchanged when digests differ

Cause: heartbeats went to random peers over connections that stay open, so after minutes each host held a connection to each other (1,137 descriptors on one host of 295), and a newcomer asked every listed host by itself (295 x 294 exchanges when all start at once). Each heartbeat sorted the whole view anew. Ways weighed: datagrams (no connections, but a second protocol beside HTTP with JSON and nothing for addresses and lists), connections that close after each heartbeat (a handshake each, twice the messages), fixed neighbours. Taken: two successors on the ring of the zone and one on that of the fleet, so that each member is asked by three others, and four random shortcuts, of which one is replaced every ten rounds. Newcomers ask three listed hosts for all members; hosts whose digests of the live members differ twice in a row exchange all, at pauses from 0.5 to 10 s. Dead members are remembered for a minute and asked now and then; a host that does not hear of the store forgets nobody, because its share of quotas goes by them. A host that stops tells 16 peers instead of all. The view is built only when the table has changed. Tests: neighbours few and all asked at 295, a fleet of 120 that starts at once, two parts that find together, only a host in touch forgets. TestHeartbeatBytesDoNotGrowWithMembers checks the heartbeats that are sent (to neighbours) where it checked one to a fixed host, which no longer gets any.

--- a/internal/bench/capacity/membership.go
+++ b/internal/bench/capacity/membership.go
@@ -72,10 +72,21 @@
 		g.order = append(g.order, m.Name)
 		g.revisions[m.Name] = 1
 	}
+	for _, m := range members {
+		g.join(m.Name)
+	}
 	return g, g.settle()
 }
 
-// settle runs rounds until each member has met most others and no news spread.
+// join gives a member all that two listed ones know.
+func (g *group) join(name string) {
+	table := g.tables[name]
+	for _, peer := range table.Unproven()[:min(len(g.order)-1, 2)] {
+		table.Receive(g.now, member.Heartbeat{From: peer.Name, All: g.tables[peer.Name].All()})
+	}
+}
+
+// settle runs rounds until each member knows all others and no updates spread.
 func (g *group) settle() error {
 	for range len(g.order)/2 + calmRounds {
 		if err := g.round(); err != nil {
@@ -85,7 +96,7 @@
 	return nil
 }
 
-// calmRounds are run in addition, for the news of the last change.
+// calmRounds are run in addition, for the updates of the last change.
 const calmRounds = 30
 
 func memberOf(i int) board.Member {
@@ -110,7 +121,7 @@
 				return err
 			}
 		}
-		table.Expire(g.now, heartbeatInterval)
+		table.Expire(g.now, heartbeatInterval, true)
 	}
 	return nil
 }
--- a/internal/bench/capacity/page.go
+++ b/internal/bench/capacity/page.go
@@ -72,7 +72,7 @@
 	waiting := (r.Find("waiting-memory").AtFull + r.Find("prefix-memory").AtFull) * goSlack
 
 	return []line{
-		{"membership", "traffic", "heartbeat-bytes(420)", "B/s", heartbeatBytes, 0, "heartbeats to 2 random peers per interval, news travel with them"},
+		{"membership", "traffic", "heartbeat-bytes(420)", "B/s", heartbeatBytes, 0, "heartbeats to 2 neighbours per interval, updates travel with them"},
 		{"configuration follower", "traffic", "change-bytes(7500) x 2600/day", "B/s", changeBytes, 0, "the change alone; 3 hosts watch, the others are told"},
 		{"configuration follower", "polls", "poll-bytes / 18.75 s", "B/s", pollBytes, 0, "the head alone, if nothing has changed"},
 		{"**any host**", "**control traffic**", "sum", "B/s", idle, bytesBudget, "links exist only while requests use them"},
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -53,6 +53,9 @@
 
 	mu    sync.Mutex
 	table *Table
+	sync  syncer
+	// published is the version of the table that is on the board.
+	published uint64
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -84,33 +87,43 @@
 	return nil
 }
 
-// Leave tells all live peers that this host is about to stop.
+// maxLeaveProbes bounds the peers that this host tells itself that it is about to stop.
+const maxLeaveProbes = 16
+
+// Leave tells live peers that this host is about to stop; they pass it on.
 func (m *Controller) Leave(ctx context.Context) {
 	m.mu.Lock()
 	m.table.Leave()
 	m.mu.Unlock()
 	m.publish()
 	var sends sync.WaitGroup
-	for _, peer := range m.board.Members().Live {
+	live := m.board.Members().Live
+	left := maxLeaveProbes
+	for _, i := range rand.Perm(len(live)) {
+		peer := live[i]
+		if left == 0 {
+			break
+		}
 		if peer.Name == m.board.Members().Self.Name {
 			continue
 		}
+		left--
 		sends.Go(func() { m.probe(ctx, peer) })
 	}
 	sends.Wait()
 }
 
-// heartbeat sends to a few random peers in each interval, and at once when there is a
-// new configuration.
+// heartbeat sends to some neighbours in each interval, and at once when there is a new
+// configuration or more is known of the store.
 func (m *Controller) heartbeat(ctx context.Context) {
 	defer m.done.Done()
 	interval := m.common.Settings.Peers.HeartbeatInterval
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	told := m.news()
+	told := m.followed()
 	for {
 		changed := m.board.Changed()
-		if current := m.news(); current != told {
+		if current := m.followed(); current != told {
 			told = current
 			m.round(ctx)
 		}
@@ -141,9 +154,12 @@
 func (m *Controller) probe(ctx context.Context, target board.Member) {
 	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval)
 	defer cancel()
-	err := m.exchange(ctx, target)
+	mustSync, err := m.exchange(ctx, target, false)
 	if err != nil && ctx.Err() == nil {
-		err = m.exchange(ctx, target)
+		mustSync, err = m.exchange(ctx, target, false)
+	}
+	if err == nil && mustSync {
+		_, err = m.exchange(ctx, target, true)
 	}
 	if err != nil {
 		m.mu.Lock()
@@ -153,21 +169,28 @@
 	m.publish()
 }
 
-func (m *Controller) exchange(ctx context.Context, target board.Member) error {
+// exchange sends a heartbeat to a member and takes its answer, with all members if wantAll
+// is set. It reports whether all members should be exchanged next.
+func (m *Controller) exchange(ctx context.Context, target board.Member, wantAll bool) (mustSync bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval/2)
 	defer cancel()
 	m.mu.Lock()
 	h := m.table.Compose(target.Name, m.table.Knows(target.Name), m.knowledge())
 	m.mu.Unlock()
+	h.WantAll = wantAll
 	answer, err := m.transport.Send(ctx, target.PeerURL, h)
 	if err != nil {
-		return err
+		return false, err
 	}
 	m.mu.Lock()
 	m.table.Receive(time.Now(), answer)
+	if !wantAll {
+		near := m.table.distance(target) == 0
+		mustSync = m.sync.due(time.Now(), answer.Digest == m.table.Digest(), near)
+	}
 	m.mu.Unlock()
 	m.nudger.Nudge(answer.knowledge(), target.PeerURL)
-	return nil
+	return mustSync, nil
 }
 
 // Answer takes the heartbeat of a peer and returns this host's.
@@ -175,6 +198,9 @@
 	m.mu.Lock()
 	m.table.Receive(time.Now(), h)
 	answer := m.table.Compose(h.From, h.Knows, m.knowledge())
+	if h.WantAll {
+		answer.All = m.table.All()
+	}
 	peerURL := m.table.PeerURL(h.From)
 	m.mu.Unlock()
 	if peerURL != "" {
@@ -186,20 +212,27 @@
 
 func (m *Controller) expire(interval time.Duration) {
 	m.mu.Lock()
-	m.table.Expire(time.Now(), interval)
+	m.table.Expire(time.Now(), interval, m.inTouch())
 	m.mu.Unlock()
 	m.publish()
 }
 
+// inTouchFor is the age of the last word from the platform's store up to which this host
+// counts as in touch with the others.
+const inTouchFor = 4 * time.Second
+
+// inTouch reports whether this host hears of the platform's store, itself or through peers.
+// Hosts that do not follow it are always in touch.
+func (m *Controller) inTouch() bool {
+	state := m.board.Store()
+	return state.ConfirmedAt.IsZero() || time.Since(state.ConfirmedAt) < inTouchFor
+}
+
 // publish writes the view and the leaving targets to the board if they have changed.
 func (m *Controller) publish() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	view := m.table.View()
-	if known := m.board.Members(); known.Registered != view.Registered || !slices.Equal(known.Live, view.Live) {
-		m.log.WithField("live", len(view.Live)).Info("Members changed.")
-		m.board.SetMembers(view)
-	}
+	m.publishView()
 	leaving := m.table.LeavingTargets()
 	if !sameTargets(m.board.Hosts().LeavingTargets, leaving) {
 		m.log.WithField("leaving", leaving).Info("Leaving targets changed.")
@@ -207,6 +240,19 @@
 	}
 }
 
+// publishView needs the lock.
+func (m *Controller) publishView() {
+	if m.published == m.table.Version() {
+		return
+	}
+	m.published = m.table.Version()
+	view := m.table.View()
+	if known := m.board.Members(); known.Registered != view.Registered || !slices.Equal(known.Live, view.Live) {
+		m.log.WithFields(logrus.Fields{"live": len(view.Live), "registered": view.Registered}).Info("Members changed.")
+		m.board.SetMembers(view)
+	}
+}
+
 func newHosts(leaving []object.TargetName) *board.Hosts {
 	set := make(map[object.TargetName]bool, len(leaving))
 	for _, name := range leaving {
@@ -227,13 +273,15 @@
 	return true
 }
 
-// news is what peers are told at once when it changes.
-type news struct {
+// followed is what peers are told at once when it changes.
+type followed struct {
 	config object.Revision
 	store  int64
 }
 
-func (m *Controller) news() news { return news{m.revision(), m.board.Store().Revision} }
+func (m *Controller) followed() followed {
+	return followed{m.revision(), m.board.Store().Revision}
+}
 
 func (m *Controller) knowledge() Knowledge {
 	state := m.board.Store()
@@ -279,21 +327,25 @@
 	}
 }
 
-// maxJoinProbes bounds the listed hosts that are asked at once.
-const maxJoinProbes = 16
+// joinProbes is the number of listed hosts that a new host asks for all members at once.
+const joinProbes = 3
 
-// join asks hosts that are listed and have not answered yet, so that a new host knows the
-// others before it takes requests. listed tells whether the list names any host.
+// join asks listed hosts that nobody has vouched for, so that a new host knows the others
+// before it takes requests. listed tells whether the list names any host.
 func (m *Controller) join(ctx context.Context, listed bool) {
 	m.mu.Lock()
 	unproven := m.table.Unproven()
 	m.mu.Unlock()
-	rand.Shuffle(len(unproven), func(i, j int) { unproven[i], unproven[j] = unproven[j], unproven[i] })
 	var probes sync.WaitGroup
-	for _, member := range unproven[:min(len(unproven), maxJoinProbes)] {
-		probes.Go(func() { m.probe(ctx, member) })
+	for _, member := range unproven[:min(len(unproven), joinProbes)] {
+		probes.Go(func() {
+			if _, err := m.exchange(ctx, member, true); err != nil && ctx.Err() == nil {
+				m.log.WithError(err).WithField("peer", member.Name).Info("Listed host not reached.")
+			}
+		})
 	}
 	probes.Wait()
+	m.publish()
 	if listed {
 		m.board.SetJoined()
 	}
--- a/internal/control/member/messages.go
+++ b/internal/control/member/messages.go
@@ -24,8 +24,8 @@
 	return slices.Index([]Status{Listed, Alive, Leaving, Suspect, Dead}, s)
 }
 
-// Rumour is one piece of news about a member.
-type Rumour struct {
+// Update is what one member says about another, or about itself.
+type Update struct {
 	Member      board.Member `json:"member"`
 	Status      Status       `json:"status"`
 	Incarnation uint64       `json:"incarnation"`
@@ -45,8 +45,16 @@
 	// StoreRevision is how far the sender has followed the platform's store.
 	StoreRevision int64 `json:"store-revision,omitempty"`
 	// StoreAgeMS is how long ago that was confirmed to be the newest.
-	StoreAgeMS int64    `json:"store-age-ms,omitempty"`
-	Rumours    []Rumour `json:"rumours,omitempty"`
+	StoreAgeMS int64 `json:"store-age-ms,omitempty"`
+	// Updates are the latest changes of members that the sender still passes on.
+	Updates []Update `json:"updates,omitempty"`
+	// Digest is that of all live members as the sender knows them. Members whose digests
+	// differ for long exchange all that they know.
+	Digest uint32 `json:"digest,omitempty"`
+	// WantAll asks for all live members in the answer.
+	WantAll bool `json:"want-all,omitempty"`
+	// All are all live members, the sender included.
+	All []Update `json:"all,omitempty"`
 	// LeavingVersion is the version of the list of leaving targets that the sender has.
 	LeavingVersion int64 `json:"leaving-version,omitempty"`
 	// Leaving is the list itself, set if the receiver is not known to have it.
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -1,6 +1,6 @@
-// Package member keeps the view of live entry hosts. Each host sends heartbeats to a
-// constant number of random peers; news about members travel with them, so the load of
-// a host does not grow with their number. The platform's list of hosts only seeds the view.
+// Package member keeps the view of live entry hosts. Each host sends heartbeats to a few
+// neighbours; changes of members travel with them, so neither the load of a host nor its
+// connections grow with their number. The platform's list of hosts only seeds the view.
 package member
 
 import (
@@ -15,38 +15,56 @@
 )
 
 const (
-	// probesPerRound is the number of peers that get a heartbeat in each interval.
-	probesPerRound = 2
 	// suspectRounds is the number of intervals after which a suspect is taken for dead.
 	suspectRounds = 4
-	// maxRumours bounds the news in one heartbeat.
-	maxRumours = 6
-	// retransmitFactor times the logarithm of the number of members is how often each
-	// piece of news is sent.
+	// maxUpdates bounds the updates in one heartbeat.
+	maxUpdates = 6
+	// retransmitFactor times the logarithm of the number of members is how often each update
+	// is sent.
 	retransmitFactor = 3
-	// deadRounds is the number of intervals between heartbeats to a dead member that is
-	// still listed.
-	deadRounds = 10
+	// countedFor is how long a member that is taken for dead counts as one that may run.
+	countedFor = 8 * time.Second
+	// rememberedFor is how long a dead member is remembered and asked now and then, so that
+	// parts of the fleet that could not reach each other find together again.
+	rememberedFor = time.Minute
+	// listedFor is how long a listed member may stay unproven.
+	listedFor = 10 * time.Second
 )
 
 // entry is what the table knows about one member.
 type entry struct {
-	Rumour
+	Update
 	changedAt time.Time
-	sends     int // How often the latest news may still be sent.
-	listed    bool
+	sends     int // How often the latest update may still be sent.
 	// knows is the incarnation of this host that the member knows.
 	knows uint64
 	// leavingVersion is the list of leaving targets that the member has.
 	leavingVersion int64
+	// position is the place of the member on the ring.
+	position uint64
+	// uncounted members have been dead for too long to run on unseen.
+	uncounted bool
+}
+
+// live reports whether the member is believed to answer.
+func (e *entry) live() bool {
+	switch e.Status {
+	case Alive, Leaving, Suspect:
+		return true
+	case Listed, Dead:
+	}
+	return false
 }
 
 // Table is the view of one host. It is not safe for concurrent use and does no I/O.
 type Table struct {
-	self    Rumour
+	self    Update
 	entries map[string]*entry
-	order   []string // Names in the random order in which they get heartbeats.
-	round   int
+	near    neighbours
+	// version grows with each change of the view.
+	version uint64
+	// doubted are members taken for dead that another host believes alive.
+	doubted []string
 
 	// leaving are the targets that the platform is about to stop. The few hosts that read
 	// the list of hosts give each change a version; the others take the highest.
@@ -57,83 +75,49 @@
 // NewTable creates a table. The incarnation must grow from run to run of a host.
 func NewTable(self board.Member, incarnation uint64) *Table {
 	return &Table{
-		self:    Rumour{Member: self, Status: Alive, Incarnation: incarnation},
+		self:    Update{Member: self, Status: Alive, Incarnation: incarnation},
 		entries: map[string]*entry{},
+		version: 1,
 	}
 }
 
+// Version grows with each change of the view.
+func (t *Table) Version() uint64 { return t.version }
+
 // Leave announces that this host is about to stop.
 func (t *Table) Leave() {
 	t.self.Incarnation++
 	t.self.Status = Leaving
 	t.self.Member.Leaving = true
+	t.version++
 }
 
-// List takes the platform's list of hosts. A listed host is not live before it has
-// answered a heartbeat. A host that is no longer listed stays while it answers.
+// List takes the platform's list of hosts. A listed host is not live before it, or a host
+// that knows it, has answered.
 func (t *Table) List(now time.Time, members []board.Member) {
-	for _, e := range t.entries {
-		e.listed = false
-	}
 	for _, m := range members {
-		if m.Name == t.self.Member.Name {
-			continue
-		}
-		e := t.entries[m.Name]
-		if e == nil {
-			e = &entry{Rumour: Rumour{Member: m, Status: Listed}, changedAt: now}
-			t.entries[m.Name] = e
-		}
-		e.listed = true
-	}
-	for name, e := range t.entries {
-		if !e.listed && (e.Status == Dead || e.Status == Listed) {
-			delete(t.entries, name)
-		}
-	}
-}
-
-// Targets returns the members that get a heartbeat in this round.
-func (t *Table) Targets() []board.Member {
-	t.round++
-	var targets []board.Member
-	for range len(t.entries) + probesPerRound {
-		if len(targets) == probesPerRound {
-			break
-		}
-		if len(t.order) == 0 {
-			t.reshuffle()
-			if len(t.order) == 0 {
-				break
-			}
-		}
-		name := t.order[0]
-		t.order = t.order[1:]
-		e := t.entries[name]
-		if e == nil || slices.ContainsFunc(targets, func(m board.Member) bool { return m.Name == name }) {
-			continue
-		}
-		if e.Status == Dead && (!e.listed || t.round%deadRounds != 0) {
+		if m.Name == t.self.Member.Name || t.entries[m.Name] != nil {
 			continue
 		}
-		targets = append(targets, e.Member)
+		e := t.add(m.Name)
+		e.Member = m
+		e.changedAt = now
+		t.version++
 	}
-	return targets
 }
 
-func (t *Table) reshuffle() {
-	for name := range t.entries {
-		t.order = append(t.order, name)
-	}
-	slices.Sort(t.order)
-	rand.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+// add creates the entry of a member of which nothing is proved.
+func (t *Table) add(name string) *entry {
+	e := &entry{Update: Update{Status: Listed}, position: ringPosition(name)}
+	t.entries[name] = e
+	return e
 }
 
 // Compose returns the heartbeat for a member. knows is the incarnation of this host that
 // the member is known to have, 0 if that is not known. If the member is not believed alive
 // it is told so, and can prove otherwise.
 func (t *Table) Compose(to string, knows uint64, known Knowledge) Heartbeat {
-	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: known.Config}
+	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: known.Config, Digest: t.Digest()}
 	if known.Store > 0 {
 		h.StoreRevision = known.Store
 		h.StoreAgeMS = known.StoreAge.Milliseconds()
@@ -148,10 +132,10 @@
 	if e := t.entries[to]; e != nil {
 		h.Knows = e.Incarnation
 		if e.Status == Suspect || e.Status == Dead {
-			h.Rumours = append(h.Rumours, e.Rumour)
+			h.Updates = append(h.Updates, e.Update)
 		}
 	}
-	h.Rumours = append(h.Rumours, t.news(to)...)
+	h.Updates = append(h.Updates, t.freshUpdates(to)...)
 	h.LeavingVersion = t.leavingVersion
 	if e := t.entries[to]; e == nil || e.leavingVersion < t.leavingVersion {
 		h.Leaving = &LeavingList{t.leaving}
@@ -181,8 +165,8 @@
 	}
 }
 
-// news returns the news that were sent the least so far.
-func (t *Table) news(to string) []Rumour {
+// freshUpdates returns the updates that were sent the least so far.
+func (t *Table) freshUpdates(to string) []Update {
 	var fresh []*entry
 	for _, e := range t.entries {
 		if e.sends > 0 && e.Member.Name != to {
@@ -195,12 +179,12 @@
 		}
 		return strings.Compare(a.Member.Name, b.Member.Name)
 	})
-	var news []Rumour
-	for _, e := range fresh[:min(len(fresh), maxRumours)] {
+	var updates []Update
+	for _, e := range fresh[:min(len(fresh), maxUpdates)] {
 		e.sends--
-		news = append(news, e.Rumour)
+		updates = append(updates, e.Update)
 	}
-	return news
+	return updates
 }
 
 // Knows returns the incarnation of this host that a member was found to know.
@@ -219,18 +203,30 @@
 	return ""
 }
 
-// Unproven returns the listed members that have not answered a heartbeat yet.
+// Unproven returns the listed members that nobody has vouched for yet, in random order,
+// those of the own availability zone first.
 func (t *Table) Unproven() []board.Member {
 	var members []board.Member
 	for _, e := range t.entries {
-		if e.Status == Listed {
+		if e.Status == Listed && e.Member.PeerURL != "" {
 			members = append(members, e.Member)
 		}
 	}
+	slices.SortFunc(members, func(a, b board.Member) int { return strings.Compare(a.Name, b.Name) })
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	slices.SortStableFunc(members, func(a, b board.Member) int { return t.distance(a) - t.distance(b) })
 	return members
 }
 
-// Receive takes a heartbeat or its answer: the sender is alive, and its news count. It
+// distance is 0 for members of the own availability zone and 1 for others.
+func (t *Table) distance(m board.Member) int {
+	if m.Zone == t.self.Member.Zone {
+		return 0
+	}
+	return 1
+}
+
+// Receive takes a heartbeat or its answer: the sender is alive, and its updates count. It
 // reports whether the sender is known by now; if not, it must be asked for its addresses.
 func (t *Table) Receive(now time.Time, h Heartbeat) bool {
 	e := t.entries[h.From]
@@ -240,13 +236,14 @@
 	}
 	switch {
 	case h.Member != nil:
-		t.apply(now, Rumour{Member: *h.Member, Status: status, Incarnation: h.Incarnation})
+		t.apply(now, Update{Member: *h.Member, Status: status, Incarnation: h.Incarnation})
 	case e != nil && e.Incarnation != 0:
-		t.apply(now, Rumour{Member: e.Member, Status: status, Incarnation: h.Incarnation})
+		t.apply(now, Update{Member: e.Member, Status: status, Incarnation: h.Incarnation})
 	}
-	for _, r := range h.Rumours {
-		t.apply(now, r)
+	for _, u := range h.Updates {
+		t.apply(now, u)
 	}
+	t.takeAll(now, h.All)
 	e = t.entries[h.From]
 	if e == nil || e.Incarnation < h.Incarnation {
 		return false
@@ -256,43 +253,42 @@
 	return true
 }
 
-// apply takes one piece of news unless what is known is newer.
-func (t *Table) apply(now time.Time, r Rumour) {
-	if r.Member.Name == t.self.Member.Name {
-		t.refute(r)
-		return
+// apply takes one update unless what is known is newer, and reports whether it did.
+func (t *Table) apply(now time.Time, u Update) bool {
+	if u.Member.Name == t.self.Member.Name {
+		t.refute(u)
+		return false
 	}
-	e := t.entries[r.Member.Name]
+	e := t.entries[u.Member.Name]
 	if e == nil {
-		if r.Status == Dead {
-			return
+		if u.Status == Dead || u.Member.Name == "" {
+			return false
 		}
-		e = &entry{Rumour: Rumour{Status: Listed}}
-		t.entries[r.Member.Name] = e
-	}
-	newer := r.Incarnation > e.Incarnation ||
-		(r.Incarnation == e.Incarnation && r.Status.rank() > e.Status.rank())
-	if !newer {
-		return
+		e = t.add(u.Member.Name)
 	}
-	expected := e.listed && e.Status == Listed && r.Status == Alive
-	t.set(now, e, r)
-	if expected {
-		e.sends = 0 // Everybody has the list; that a listed host is alive is no news.
+	newer := u.Incarnation > e.Incarnation ||
+		(u.Incarnation == e.Incarnation && u.Status.rank() > e.Status.rank())
+	if newer {
+		t.set(now, e, u)
 	}
+	return newer
 }
 
-func (t *Table) set(now time.Time, e *entry, r Rumour) {
-	e.Rumour = r
-	e.Member.Leaving = r.Status == Leaving || r.Member.Leaving
+func (t *Table) set(now time.Time, e *entry, u Update) {
+	e.Update = u
+	e.Member.Leaving = u.Status == Leaving || u.Member.Leaving
 	e.changedAt = now
+	e.uncounted = false
 	e.sends = retransmitFactor * bits.Len(uint(len(t.entries)+1))
+	t.version++
 }
 
-// refute answers news that this host is suspect or dead with a higher incarnation.
-func (t *Table) refute(r Rumour) {
-	if r.Incarnation >= t.self.Incarnation && r.Status != t.self.Status {
-		t.self.Incarnation = r.Incarnation + 1
+// refute answers an update that says that this host is suspect or dead with a higher
+// incarnation.
+func (t *Table) refute(u Update) {
+	if u.Incarnation >= t.self.Incarnation && u.Status != t.self.Status {
+		t.self.Incarnation = u.Incarnation + 1
+		t.version++
 	}
 }
 
@@ -302,18 +298,29 @@
 	if e == nil || e.Status == Dead || e.Status == Suspect || e.Status == Listed {
 		return
 	}
-	r := e.Rumour
-	r.Status = Suspect
-	t.set(now, e, r)
+	u := e.Update
+	u.Status = Suspect
+	t.set(now, e, u)
 }
 
-// Expire takes suspects for dead that have not proved otherwise in time.
-func (t *Table) Expire(now time.Time, interval time.Duration) {
-	for _, e := range t.entries {
-		if e.Status == Suspect && now.Sub(e.changedAt) >= suspectRounds*interval {
-			r := e.Rumour
-			r.Status = Dead
-			t.set(now, e, r)
+// Expire takes suspects for dead that have not proved otherwise in time, and forgets members
+// of which nothing was heard for long. A host that is out of touch forgets nobody: the others
+// may run on without it.
+func (t *Table) Expire(now time.Time, interval time.Duration, inTouch bool) {
+	for name, e := range t.entries {
+		age := now.Sub(e.changedAt)
+		switch {
+		case e.Status == Suspect && age >= suspectRounds*interval:
+			u := e.Update
+			u.Status = Dead
+			t.set(now, e, u)
+		case !inTouch:
+		case e.Status == Dead && age >= rememberedFor, e.Status == Listed && age >= listedFor:
+			delete(t.entries, name)
+			t.version++
+		case e.Status == Dead && age >= countedFor && !e.uncounted:
+			e.uncounted = true
+			t.version++
 		}
 	}
 }
@@ -321,12 +328,13 @@
 // View returns the live members, this host included, sorted by name. Suspects are live
 // until they are taken for dead.
 func (t *Table) View() *board.Members {
-	view := &board.Members{Self: t.self.Member, Live: []board.Member{t.self.Member}, Registered: 1 + len(t.entries)}
+	view := &board.Members{Self: t.self.Member, Live: []board.Member{t.self.Member}, Registered: 1}
 	for _, e := range t.entries {
-		switch e.Status {
-		case Alive, Leaving, Suspect:
+		if e.live() {
 			view.Live = append(view.Live, e.Member)
-		case Listed, Dead:
+		}
+		if !e.uncounted {
+			view.Registered++
 		}
 	}
 	slices.SortFunc(view.Live, func(a, b board.Member) int { return strings.Compare(a.Name, b.Name) })
