One list of hosts for each zone; the first list of the store is a stale one, then confirmed

Ruled out: longer leases alone (two writes and the pages of a list remain for each host and start). Change: a strong host of each zone keeps the hosts of the zone in one item without lease, written at most each two seconds and when it differs. A host that starts reads these lists (stale, a tenth of the price) and asks three listed hosts for all members. It lists the store with a stale read and puts nothing on the board before a peer, or after 0.1 s the store, has confirmed it: what had left or was withdrawn cannot come back after a restart (TestStaleListIsNotUsed). Five hosts instead of eight watch the store.

--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package discovery follows the platform's store: the operator's configuration, the
-// targets that registered themselves, and the other entry hosts. It puts what it learns
-// on the board and registers this host.
+// Package discovery follows the platform's store: the operator's configuration and the
+// targets that registered themselves. It puts what it learns on the board, and keeps the
+// entry hosts listed in the store for those that start.
 package discovery
 
 import (
@@ -19,12 +19,14 @@
 	"redwinglock/internal/state/object"
 )
 
-// HostsPrefix is the prefix below which entry hosts register themselves.
-const HostsPrefix = "redwinglock/hosts/"
-
 const (
 	// watchWait is how long one call waits for changes.
 	watchWait = 2 * time.Second
+	// firstWait is the wait of the call that confirms a list which may be stale.
+	firstWait = time.Millisecond
+	// firstPatience is how long a host that has just started waits for a peer to confirm what
+	// it knows before it asks the store.
+	firstPatience = 100 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call to the store.
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second
@@ -67,12 +69,13 @@
 	// revision is how far the store has been followed, here or by a peer that told of it.
 	revision int64
 	// confirmedAt is when the store last told, here or through peers, that nothing newer
-	// was known.
+	// was known. Until it has told so once, nothing goes to the board: what is known may be
+	// older than what hosts that ran before have used.
 	confirmedAt time.Time
+	startedAt   time.Time
 	known       *known
 	base        *object.Snapshot // Without discovered targets.
 	targets     map[string]*object.Target
-	hosts       map[string]board.Member
 	// vanished are entries of targets that are taken for gone at the given time.
 	vanished       map[string]time.Time
 	targetRevision object.Revision
@@ -98,8 +101,8 @@
 		hint:       make(chan peerHint, 1),
 		known:      newKnown(),
 		targets:    map[string]*object.Target{},
-		hosts:      map[string]board.Member{},
 		vanished:   map[string]time.Time{},
+		startedAt:  time.Now(),
 		stop:       stop,
 	}
 	d.done.Go(func() { d.follow(ctx) })
@@ -155,7 +158,10 @@
 // step makes one call and takes what it brings.
 func (d *Controller) step(ctx context.Context) error {
 	revision := d.followed()
-	if revision == 0 || d.takeMustList() {
+	if revision == 0 {
+		return d.listFirst(ctx)
+	}
+	if d.takeMustList() {
 		items, listed, err := d.tree.List(ctx, "")
 		if err != nil {
 			return err
@@ -163,7 +169,11 @@
 		d.replace(items, listed)
 		return nil
 	}
-	items, next, err := d.tree.Follow(ctx, "", revision, watchWait)
+	wait := watchWait
+	if !d.confirmed() {
+		wait = firstWait
+	}
+	items, next, err := d.tree.Follow(ctx, "", revision, wait)
 	if err != nil {
 		return err
 	}
@@ -174,6 +184,30 @@
 	return nil
 }
 
+// listFirst lists the store at a low cost. The list may be some seconds old; what has changed
+// since comes from a peer or from the store before any of it is used.
+func (d *Controller) listFirst(ctx context.Context) error {
+	items, listed, err := d.tree.ListStale(ctx, "")
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.revision >= listed {
+		return nil // A peer has told of newer changes meanwhile.
+	}
+	d.setRevision(listed)
+	d.takeAll(items)
+	return nil
+}
+
+// confirmed reports whether the store has told once that nothing newer was known.
+func (d *Controller) confirmed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.confirmedAt.IsZero()
+}
+
 // followed returns how far the store has been followed, 0 if it must be listed.
 func (d *Controller) followed() int64 {
 	d.mu.Lock()
@@ -184,13 +218,24 @@
 // setRevision needs the lock.
 func (d *Controller) setRevision(revision int64) {
 	d.revision = revision
-	d.board.SetStoreState(board.StoreState{Revision: revision, ConfirmedAt: d.confirmedAt})
+	d.tellState()
 }
 
-// setConfirmed needs the lock.
+// setConfirmed needs the lock. It comes after all changes up to the revision were taken.
 func (d *Controller) setConfirmed(at time.Time) {
+	isFirst := d.confirmedAt.IsZero()
 	d.confirmedAt = at
-	d.board.SetStoreState(board.StoreState{Revision: d.revision, ConfirmedAt: at})
+	d.tellState()
+	if isFirst {
+		d.publish()
+	}
+}
+
+// tellState needs the lock.
+func (d *Controller) tellState() {
+	if !d.confirmedAt.IsZero() {
+		d.board.SetStoreState(board.StoreState{Revision: d.revision, ConfirmedAt: d.confirmedAt})
+	}
 }
 
 // takeMustList reports whether the store must be listed again, once.
@@ -232,9 +277,9 @@
 	if revision < d.revision {
 		return // A peer has told of newer changes meanwhile.
 	}
-	d.setConfirmed(time.Now())
 	d.setRevision(revision)
 	d.takeAll(items)
+	d.setConfirmed(time.Now())
 }
 
 // takeAll needs the lock.
@@ -262,9 +307,9 @@
 	if d.revision != after {
 		return
 	}
-	d.setConfirmed(time.Now())
 	d.setRevision(next)
 	d.takeChanges(items)
+	d.setConfirmed(time.Now())
 }
 
 // takeChanges needs the lock.
@@ -288,8 +333,6 @@
 		return !i.Deleted && d.takeConfig(i)
 	case strings.HasPrefix(i.Key, d.translator.TargetsPrefix()):
 		return d.takeTarget(i)
-	case strings.HasPrefix(i.Key, HostsPrefix):
-		d.takeHost(i)
 	}
 	return false
 }
@@ -321,7 +364,7 @@
 
 // publish puts the configuration with the current targets on the board.
 func (d *Controller) publish() {
-	if d.base == nil {
+	if d.base == nil || d.confirmedAt.IsZero() {
 		return
 	}
 	d.targetRevision++
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -18,14 +18,14 @@
 
 const (
 	// watchers is the number of hosts that watch the store; the others hear from them.
-	watchers = 8
+	watchers = 5
 	// watchDuty is the duty by which the watching hosts are chosen.
 	watchDuty = "store-watch"
 	// maxAge is the age of its knowledge at which a host that does not watch asks the store
 	// itself. A watch confirms what its host knows every watchWait.
 	maxAge = watchWait + time.Second
-	// peerPatience is how long a watching host waits for news from the store itself before
-	// it takes them from a peer.
+	// peerPatience is how long a watching host waits for changes from the store itself
+	// before it takes them from a peer.
 	peerPatience = 300 * time.Millisecond
 	// peerTimeout bounds the read from a peer.
 	peerTimeout = 500 * time.Millisecond
@@ -43,8 +43,10 @@
 	Partial bool `json:"partial"`
 	// TroubleAgeMS is how long ago the store failed a call of this host, 0 if it never did.
 	// Targets that vanish around that time may come back.
-	TroubleAgeMS int64        `json:"trouble-age-ms,omitempty"`
-	Items        []store.Item `json:"items"`
+	TroubleAgeMS int64 `json:"trouble-age-ms,omitempty"`
+	// ConfirmedAgeMS is how long ago the revision was confirmed to be the newest.
+	ConfirmedAgeMS int64        `json:"confirmed-age-ms"`
+	Items          []store.Item `json:"items"`
 }
 
 // Items returns what this host knows beyond a revision, as the text of a parameter.
@@ -56,7 +58,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changes, partial := d.known.since(revision)
-	items := Items{Revision: d.revision, Partial: partial, Items: changes}
+	items := Items{Revision: d.revision, Partial: partial, Items: changes, ConfirmedAgeMS: time.Since(d.confirmedAt).Milliseconds()}
 	if !d.troubleAt.IsZero() {
 		items.TroubleAgeMS = max(time.Since(d.troubleAt).Milliseconds(), 1)
 	}
@@ -117,14 +119,12 @@
 // awaitNeed waits until this host must ask the store: it watches for all, or what it knows
 // has not been confirmed for too long.
 func (d *Controller) awaitNeed(ctx context.Context) {
-	for ctx.Err() == nil && !d.watches() {
-		d.mu.Lock()
-		left := maxAge - time.Since(d.confirmedAt)
-		d.mu.Unlock()
+	for ctx.Err() == nil {
+		changed := d.board.Changed()
+		left := d.mayWait()
 		if left <= 0 {
 			return
 		}
-		changed := d.board.Changed()
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -133,6 +133,36 @@
 	}
 }
 
+// mayWait returns how long this host may go without asking the store.
+func (d *Controller) mayWait() time.Duration {
+	watches := d.watches()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.revision == 0:
+		return 0
+	case d.confirmedAt.IsZero():
+		if watches && d.hasJoined() {
+			return 0
+		}
+		return firstPatience - time.Since(d.startedAt)
+	case watches:
+		return 0
+	}
+	return maxAge - time.Since(d.confirmedAt)
+}
+
+// hasJoined reports whether the other hosts have been asked. Before, a host takes itself for
+// one that watches.
+func (d *Controller) hasJoined() bool {
+	select {
+	case <-d.board.Joined():
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *Controller) readPeer(ctx context.Context, peerURL string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -178,4 +208,7 @@
 	} else {
 		d.takeAll(items.Items)
 	}
+	if confirmed := time.Now().Add(-time.Duration(items.ConfirmedAgeMS) * time.Millisecond); confirmed.After(d.confirmedAt) {
+		d.setConfirmed(confirmed)
+	}
 }
--- a/internal/control/discovery/site_test.go
+++ b/internal/control/discovery/site_test.go
@@ -28,6 +28,9 @@
 	follows  int
 	leases   map[store.LeaseID]bool
 	changed  chan struct{}
+
+	stale         []store.Item
+	staleRevision int64
 }
 
 func newFakeTree() *fakeTree {
@@ -86,6 +89,25 @@
 	return items, f.revision, nil
 }
 
+// ListStale returns what the store held when it was last frozen, if it was.
+func (f *fakeTree) ListStale(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	f.mu.Lock()
+	stale, revision := f.stale, f.staleRevision
+	f.mu.Unlock()
+	if stale == nil {
+		return f.List(ctx, prefix)
+	}
+	return stale, revision, nil
+}
+
+// freeze makes stale lists return what the store holds now.
+func (f *fakeTree) freeze() {
+	items, revision, _ := f.List(context.Background(), "")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stale, f.staleRevision = items, revision
+}
+
 func (f *fakeTree) Follow(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Item, int64, error) {
 	f.mu.Lock()
 	f.follows++
@@ -120,13 +142,20 @@
 func (f *fakeTree) Txn(_ context.Context, t store.Transaction) (bool, []store.Value, error) {
 	f.mu.Lock()
 	err := f.err
+	held := true
+	for _, c := range t.Compares {
+		held = held && f.items[c.Key].Revision == c.ModRevision
+	}
 	f.mu.Unlock()
-	if err != nil {
+	if err != nil || !held {
 		return false, nil, err
 	}
 	for _, p := range t.Puts {
 		f.set(p.Key, string(p.Data))
 	}
+	for _, key := range t.Deletes {
+		f.remove(key)
+	}
 	return true, nil, nil
 }
 
@@ -191,7 +220,9 @@
 		f := &fixture{tree: newFakeTree(), board: board.New(board.Member{Name: "entry-1"})}
 		f.tree.set("config", "1")
 		f.tree.set("targets/i-1", readyTarget)
+		f.board.SetJoined()
 		f.d = New(common.Discard(), f.board, f.tree, testTranslator{}, http2.New(time.Second, nil))
+		time.Sleep(2 * firstWait)
 		synctest.Wait()
 		test(t, f)
 		require.NoError(t, f.d.Close())
--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -55,7 +55,7 @@
 			newCommon,
 			newBoard,
 			newDiscovery,
-			newRegistrar,
+			newHostList,
 			newGatewayMembers,
 			newFrontServer,
 			newArbiterClient,
@@ -89,15 +89,15 @@
 	return d
 }
 
-func newRegistrar(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree) *discovery.Registrar {
-	r := discovery.NewRegistrar(c, b, tree)
-	lc.Append(fx.StopHook(r.Close))
-	return r
+func newHostList(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree) *discovery.HostList {
+	l := discovery.NewHostList(c, b, tree)
+	lc.Append(fx.StopHook(l.Close))
+	return l
 }
 
-func newGatewayMembers(lc fx.Lifecycle, c *common.Common, b *board.Board, d *discovery.Controller) *member.Controller {
+func newGatewayMembers(lc fx.Lifecycle, c *common.Common, b *board.Board, d *discovery.Controller, l *discovery.HostList) *member.Controller {
 	transport := &member.HTTPTransport{Client: http2.New(c.Settings.Peers.LinkTimeout, nil), Key: c.Settings.Peers.Key}
-	m := member.NewController(c, b, transport, d, d)
+	m := member.NewController(c, b, transport, l, d)
 	lc.Append(fx.StopHook(m.Close))
 	return m
 }
@@ -115,7 +115,7 @@
 	Board     *board.Board
 	Members   *member.Controller
 	Discovery *discovery.Controller
-	Registrar *discovery.Registrar
+	HostList  *discovery.HostList
 	Arbiters  *front.Server
 	Gateway   *gateway.Server
 	Metrics   http.Handler `name:"metrics"`
@@ -193,13 +193,13 @@
 		defer cancel()
 		h.Members.Leave(leaveCtx)
 	})
-	var registrarErr error
-	leaving.Go(func() { registrarErr = h.Registrar.Close() })
+	var listErr error
+	leaving.Go(func() { listErr = h.HostList.Close() })
 	pause(ctx, h.Common.Settings.Gateway.StopServe)
 	leaving.Wait()
 	limit, cancel := context.WithTimeout(ctx, h.Common.Settings.Stop.Limit)
 	defer cancel()
-	errs := []error{registrarErr, h.callers.shutdown(limit), h.Gateway.Close()}
+	errs := []error{listErr, h.callers.shutdown(limit), h.Gateway.Close()}
 	h.log.Info("All requests have ended.")
 	for _, l := range h.others {
 		// The streams of peers do not end by themselves.
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -295,21 +295,26 @@
 	return 0
 }
 
+// joinInterval is the time between two reads of the list by a host that knows no other.
+const joinInterval = 200 * time.Millisecond
+
 // readList reads the platform's list of hosts at intervals, on the few hosts that do so
 // for all, and on a host that has no live peer yet.
 func (m *Controller) readList(ctx context.Context) {
 	defer m.done.Done()
-	ticker := time.NewTicker(m.common.Settings.Hosts.Interval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		members := m.board.Members()
-		if len(members.Live) == 1 || members.Ranks("host-list", m.common.Settings.Hosts.Readers) {
+		alone := len(members.Live) == 1
+		if alone || members.Ranks("host-list", m.common.Settings.Hosts.Readers) {
 			m.readListOnce(ctx)
 		}
+		wait := m.common.Settings.Hosts.Interval
+		if alone {
+			wait = min(wait, joinInterval)
+		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-time.After(wait):
 		}
 	}
 }
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -63,6 +63,8 @@
 type Tree interface {
 	// List returns all items below a prefix and the revision from which Follow goes on.
 	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	// ListStale is List at a tenth of its cost. What it returns held some seconds ago.
+	ListStale(ctx context.Context, prefix string) ([]Item, int64, error)
 	// Follow waits for changes below a prefix after a revision, at most for the given time,
 	// and returns them with the revision from which to go on.
 	Follow(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
