Repeats: the slack is shared by all hosts

Cause: each host had a slack of its own of 4 repeats saved and 2 in ten seconds, whatever the size of the fleet. Change: the slack is the operator's, for all hosts together; a host has the part that it is of the registered hosts, half of it to save up and a quarter to come back in each window. gateway.repeat-slack means all hosts now.

--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -60,6 +60,8 @@
 
 const (
 	answerBytes = 800
+	// repeatSlack is how many requests all hosts may send once more beside the share.
+	repeatSlack = 50
 	// maxAttempts is how many targets one request may be sent to.
 	maxAttempts = 3
 )
@@ -139,7 +141,7 @@
 	}
 	running, err := site.New(site.Spec{
 		Program: o.Program, Settings: o.Settings, Dir: dir, Hosts: s.Hosts, Targets: s.targets(), Config: s.config(),
-		Bounds: site.Bounds{QuotaWindow: 8 * time.Second},
+		Bounds: site.Bounds{QuotaWindow: 8 * time.Second, RepeatSlack: repeatSlack},
 	})
 	if err != nil {
 		return nil, err
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -105,7 +105,7 @@
 	var err error
 	s.site, err = site.New(site.Spec{
 		Program: s.options.Program, Settings: s.options.Settings, Dir: dir, Hosts: s.options.Hosts, Config: first,
-		Bounds: site.Bounds{QuotaWindow: quotaWindow, QuotaOverage: quotaOverage, QuotaSlack: quotaSlack},
+		Bounds: site.Bounds{QuotaWindow: quotaWindow, QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, RepeatSlack: repeatSlack},
 	})
 	if err != nil {
 		return err
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -66,7 +66,7 @@
 		arbiters: arbiters,
 		targets:  targets,
 		dialect:  dialect,
-		repeats:  newRepeatBudget(c.Settings.Gateway.RepeatShare, c.Settings.Gateway.RepeatSlack),
+		repeats:  newRepeatBudget(c.Settings.Gateway.RepeatShare, c.Settings.Gateway.RepeatSlack, func() int { return b.Members().Registered }),
 		routine:  common.PerSecond{Limit: routinePerSecond},
 		patience: newPatience(),
 		run:      b.Members().Self.Run,
--- a/internal/entry/gateway/limits_test.go
+++ b/internal/entry/gateway/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -64,7 +65,7 @@
 }
 
 func TestRepeatBudgetFollowsTheRequests(t *testing.T) {
-	b := newRepeatBudget(0.1, 4)
+	b := newRepeatBudget(0.1, 8, func() int { return 1 })
 	now := time.Unix(1000, 0)
 	used := 0
 	for range 1000 { // Ten seconds with 100 requests each second that all want to be repeated.
@@ -78,6 +79,54 @@
 	require.GreaterOrEqual(t, used, 100)
 }
 
+// TestRepeatBudgetOfAllHosts lets every request fail after a calm time, at each size of fleet:
+// in no window may all hosts together repeat more than their share and slack allow.
+func TestRepeatBudgetOfAllHosts(t *testing.T) {
+	const share, step = 0.1, 10 * time.Millisecond
+	rows := []struct {
+		hosts            int
+		slack, perSecond float64
+	}{
+		{6, 52, 45},
+		{72, 184, 200},
+		{295, 630, 614},
+		{420, 900, 900},
+	}
+	for _, row := range rows {
+		t.Run(fmt.Sprint(row.hosts, " hosts"), func(t *testing.T) {
+			var budgets []*repeatBudget
+			for range row.hosts {
+				budgets = append(budgets, newRepeatBudget(share, row.slack, func() int { return row.hosts }))
+			}
+			now := time.Unix(1000, 0)
+			asked, next := 0.0, 0
+			var repeats []time.Time
+			for range 40 * time.Second / step {
+				now = now.Add(step)
+				for asked += row.perSecond * step.Seconds(); asked >= 1; asked-- {
+					b := budgets[next%row.hosts]
+					next++
+					b.noteRequest("p", now)
+					if now.Sub(time.Unix(1000, 0)) > 20*time.Second && b.take("p", now) {
+						repeats = append(repeats, now)
+					}
+				}
+			}
+			allowed := share*row.perSecond*repeatWindow.Seconds() + row.slack
+			for i, at := range repeats {
+				inWindow := 0
+				for _, other := range repeats[i:] {
+					if other.Sub(at) < repeatWindow {
+						inWindow++
+					}
+				}
+				require.LessOrEqual(t, float64(inWindow), allowed)
+			}
+			require.NotEmpty(t, repeats)
+		})
+	}
+}
+
 func TestRequestThatComesBackRanksAsInTimeForAWhile(t *testing.T) {
 	const objective = 400 * time.Millisecond
 	rows := []struct {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -26,6 +26,8 @@
 	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   float64
+	// RepeatSlack is what may be sent once more beside the share of the requests.
+	RepeatSlack float64
 }
 
 // Spec says what a site consists of.
@@ -228,6 +230,7 @@
 		"{{bounds.quota_window_s}}", fmt.Sprint(s.spec.Bounds.QuotaWindow.Seconds()),
 		"{{bounds.quota_overage}}", fmt.Sprint(s.spec.Bounds.QuotaOverage),
 		"{{bounds.quota_slack}}", fmt.Sprint(s.spec.Bounds.QuotaSlack),
+		"{{bounds.retry_budget_slack}}", fmt.Sprint(s.spec.Bounds.RepeatSlack),
 	).Replace(s.template)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -22,8 +22,8 @@
 	// RepeatShare is the share of the requests of a pool that may be sent once more.
 	// Default 0.1.
 	RepeatShare float64 `yaml:"repeat-share"`
-	// RepeatSlack is how many requests of a pool one host may send once more in ten seconds
-	// beside the share. Default 4.
+	// RepeatSlack is how many requests of a pool all hosts together may send once more in ten
+	// seconds beside the share. Default 50.
 	RepeatSlack float64 `yaml:"repeat-slack"`
 	// Quota says how far the quotas of accounts may be passed.
 	Quota Quota `yaml:"quota"`
@@ -46,7 +46,7 @@
 	setDefault(&g.AddressTTL, 2*time.Second)
 	setDefault(&g.MaxBodyBytes, 4<<20)
 	setDefault(&g.RepeatShare, 0.1)
-	setDefault(&g.RepeatSlack, 4)
+	setDefault(&g.RepeatSlack, 50)
 	setDefault(&g.StopServe, 4*time.Second)
 }
 
