Targets with the same load are ordered otherwise at each arbiter

Change: a seed from the run of the host orders targets with the same load; without one it is the name. The three copies of the hash with its last step became one (internal/state/digest).

--- a/internal/control/member/neighbours.go
+++ b/internal/control/member/neighbours.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 
 	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/digest"
 )
 
 const (
@@ -31,22 +31,6 @@
 	shortcuts []string
 }
 
-// ringPosition places a member on the ring.
-func ringPosition(name string) uint64 {
-	digest := fnv.New64a()
-	digest.Write([]byte(name))
-	return mix(digest.Sum64())
-}
-
-// mix spreads the bits of a hash, as the last step of SplitMix64 does.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // Targets returns the members that get a heartbeat in this round: one neighbour on the
 // rings, one shortcut, and at times one that is taken for dead.
 func (t *Table) Targets() []board.Member {
@@ -87,7 +71,7 @@
 
 // liveEntries returns the live members in the order of the ring, from this host on.
 func (t *Table) liveEntries() []*entry {
-	own := ringPosition(t.self.Member.Name)
+	own := digest.Of(t.self.Member.Name)
 	live := make([]*entry, 0, len(t.entries))
 	for _, e := range t.entries {
 		if e.live() {
--- a/internal/control/member/sync.go
+++ b/internal/control/member/sync.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"redwinglock/internal/state/digest"
 )
 
 const (
@@ -27,7 +29,7 @@
 	return uint32(sum)
 }
 
-func digestOf(u Update) uint64 { return mix(ringPosition(u.Member.Name) + u.Incarnation) }
+func digestOf(u Update) uint64 { return digest.Mix(digest.Of(u.Member.Name) + u.Incarnation) }
 
 // All returns the live members, this host first.
 func (t *Table) All() []Update {
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
 )
 
@@ -108,7 +109,7 @@
 
 // add creates the entry of a member of which nothing is proved.
 func (t *Table) add(name string) *entry {
-	e := &entry{Update: Update{Status: Listed}, position: ringPosition(name)}
+	e := &entry{Update: Update{Status: Listed}, position: digest.Of(name)}
 	t.entries[name] = e
 	return e
 }
--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -88,7 +88,7 @@
 // order of the handlers, as long as none is busy.
 func newSite(t *testing.T, handlers ...http.HandlerFunc) *site {
 	gin.SetMode(gin.ReleaseMode)
-	s := &site{t: t, board: board.New(board.Member{Name: "entry-1", Run: "run-1", CallerURL: "10.0.0.1:80"})}
+	s := &site{t: t, board: board.New(board.Member{Name: "entry-1", CallerURL: "10.0.0.1:80"})}
 	s.board.SetJoined()
 	var found []*object.Target
 	for i, handler := range handlers {
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -13,6 +13,7 @@
 	"redwinglock/internal/pool/shard"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
 )
 
@@ -137,7 +138,7 @@
 	if w := s.workers[pool]; w != nil {
 		return w
 	}
-	w = newWorker(pool, s.quotas)
+	w = newWorker(pool, s.quotas, seedOf(s.board.Members().Self.Run))
 	w.configure(s.board)
 	s.workers[pool] = w
 	s.log.WithField("pool", pool).Info("Shard opened.")
@@ -204,9 +205,20 @@
 	loggedAt time.Time
 }
 
-func newWorker(pool object.PoolName, quotas *shard.Quotas) *worker {
+// seedOf returns what orders targets with the same load in one run of a host, 0 if the run has
+// no name.
+func seedOf(run wire.HostID) uint64 {
+	if run == "" {
+		return 0
+	}
+	return digest.Of(string(run))
+}
+
+func newWorker(pool object.PoolName, quotas *shard.Quotas, seed uint64) *worker {
+	decisions := shard.New(pool, quotas)
+	decisions.Shuffle(seed)
 	return &worker{
-		shard:    shard.New(pool, quotas),
+		shard:    decisions,
 		sessions: map[wire.RequestID]registered{},
 		share:    shard.Share{Slots: 1, Quota: 1},
 	}
--- a/internal/pool/shard/placement.go
+++ b/internal/pool/shard/placement.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"redwinglock/internal/state/digest"
+	"redwinglock/internal/state/object"
 )
 
 // place picks the target for a request: one that holds a prefix of its prompt unless
@@ -97,15 +100,31 @@
 // position implements positioned.
 func (t *target) position() *int { return &t.readyIndex }
 
-// leastLoaded orders targets by load.
+// leastLoaded orders targets by load, and targets with the same load as the arbiter does.
 func leastLoaded(a, b *target) bool {
 	x, y := a.load(), b.load()
-	if x != y {
+	switch {
+	case x != y:
 		return x < y
+	case a.order != b.order:
+		return a.order < b.order
 	}
 	return a.name < b.name
 }
 
+// Shuffle gives this shard an order of its own among targets with the same load. Arbiters that
+// do not know of each other, as when many hosts start at once, do not all choose the same
+// target then. It must come before the first configuration. Without it the order is by name.
+func (s *Shard) Shuffle(seed uint64) { s.seed = seed }
+
+// orderOf returns the place of a target among those with the same load.
+func (s *Shard) orderOf(name object.TargetName) uint64 {
+	if s.seed == 0 {
+		return 0
+	}
+	return digest.Mix(s.seed + digest.Of(string(name)))
+}
+
 // fixReady adds, moves or removes a target among those with free slots, after a change of
 // its slots or load.
 func (s *Shard) fixReady(t *target) {
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -39,6 +39,8 @@
 	rate     drainRate
 	response responseTime
 	speeds   speeds
+	// seed orders targets with the same load, 0 for an order by name.
+	seed uint64
 	// comparedAt is when target speeds were last compared.
 	comparedAt time.Time
 
@@ -114,6 +116,7 @@
 		t := s.targets[spec.Name]
 		if t == nil {
 			t = newTarget(spec, view.Type)
+			t.order = s.orderOf(spec.Name)
 			s.targets[spec.Name] = t
 		}
 		t.generation = spec.Generation
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -81,6 +81,8 @@
 	samples      int
 	speed        float64 // Speed relative to the median of the generation, at most 1.
 
+	// order is the place of the target among those with the same load.
+	order      uint64
 	readyIndex int // Position in the heap of targets with free slots.
 }
 
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -3,12 +3,12 @@
 package board
 
 import (
-	"hash/fnv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
 )
 
@@ -204,16 +204,4 @@
 	return higher < n
 }
 
-func rendezvous(duty, host string) uint64 {
-	digest := fnv.New64a()
-	digest.Write([]byte(host))
-	digest.Write([]byte{0})
-	digest.Write([]byte(duty))
-	// FNV alone mixes the last bytes badly; finish as in SplitMix64.
-	x := digest.Sum64()
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
+func rendezvous(duty, host string) uint64 { return digest.Of(host, duty) }
