Connections to peers are closed when idle

Change: 5 s without a request close it; neighbours are spoken to more often. Test: TestIdleConnectionsAreClosed; without the time-out five of five connections stay for 10 s (fails).

--- a/internal/peer/http2/client.go
+++ b/internal/peer/http2/client.go
@@ -15,6 +15,7 @@
 // fails otherwise than by dialling makes the client start over with new connections.
 type Client struct {
 	timeout time.Duration
+	idle    time.Duration
 	config  *tls.Config
 	current atomic.Pointer[http.Client]
 }
@@ -22,7 +23,15 @@
 // New creates a client. The timeout bounds dialling and the wait for the header of an
 // answer. config may be nil for plain connections.
 func New(timeout time.Duration, config *tls.Config) *Client {
-	c := &Client{timeout: timeout, config: config}
+	return newClient(timeout, idleTimeout, config)
+}
+
+// idleTimeout closes connections to hosts that are no longer spoken to. It is longer than the
+// time between two heartbeats to a neighbour.
+const idleTimeout = 5 * time.Second
+
+func newClient(timeout, idle time.Duration, config *tls.Config) *Client {
+	c := &Client{timeout: timeout, idle: idle, config: config}
 	c.current.Store(c.create())
 	return c
 }
@@ -37,6 +46,7 @@
 		TLSClientConfig:       c.config,
 		Protocols:             protocols,
 		ResponseHeaderTimeout: c.timeout,
+		IdleConnTimeout:       c.idle,
 	}}
 }
 
--- /dev/null
+++ b/internal/peer/http2/client_test.go
@@ -0,0 +1,48 @@
+package http2
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestIdleConnectionsAreClosed speaks to some hosts once. Their connections must not stay: in
+// a fleet each host meets each other in time.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	var open atomic.Int64
+	client := newClient(time.Second, 50*time.Millisecond, nil)
+	for range 5 {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "ok")
+		}))
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		server.Config.Protocols = protocols
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				open.Add(1)
+			case http.StateClosed:
+				open.Add(-1)
+			case http.StateActive, http.StateIdle, http.StateHijacked:
+			}
+		}
+		server.Start()
+		defer server.Close()
+		request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+		require.NoError(t, err)
+		response, err := client.Do(request)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	require.Eventually(t, func() bool { return open.Load() == 0 }, 10*time.Second, 5*time.Millisecond)
+	require.NoError(t, client.Close())
+}
