A host is told its memory

Cause: the busiest host peaked at 92 MB where weak hosts have 112, and the runtime knows no limit. Change: memory-mb sets the runtime's soft limit to two thirds of it.

--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -41,6 +41,7 @@
 // reads the settings again on SIGHUP.
 func RunGateway(s *settings.Settings, load func() (*settings.Settings, error), tree store.Tree, translator discovery.Translator, dialect gateway.Dialect) error {
 	gin.SetMode(gin.ReleaseMode)
+	limitMemory(s)
 	var c *common.Common
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -41,6 +42,9 @@
 	startTimeout = 15 * time.Second
 	// closeTimeout is the time for the parts to close after the last request has ended.
 	closeTimeout = 30 * time.Second
+	// memoryPart is the part of the memory of the host from which garbage is collected more
+	// often. The rest is for what the runtime does not count.
+	memoryPart = 2.0 / 3
 	// callerMargin is added to the time for which callers keep the list of addresses.
 	callerMargin    = time.Second
 	metricsInterval = time.Second
@@ -77,6 +81,7 @@
 // Run starts the host and waits for a signal, then stops it as planned. An interrupt
 // during the stop ends it early.
 func Run(s *settings.Settings) error {
+	limitMemory(s)
 	app := New(s)
 	if err := app.Err(); err != nil {
 		return fmt.Errorf("wire host: %w", err)
@@ -84,6 +89,13 @@
 	return runApp(app, func() {})
 }
 
+// limitMemory tells the runtime how much memory the host has.
+func limitMemory(s *settings.Settings) {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryPart))
+	}
+}
+
 // runApp starts an application, waits for a signal and stops it. SIGHUP calls reload.
 func runApp(app *fx.App, reload func()) error {
 	// A signal that comes during the start must not end the process at once.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -223,7 +223,7 @@
 	text := strings.NewReplacer(
 		"http://{{ip}}:{{internal_ports.0}}", "http://"+h.Peers.Address(),
 		"{{ip}}:{{internal_ports.0}}", listen(portPeers),
-		"{{node}}", h.Name, "{{zone}}", h.Zone, "{{ip}}", ip, "{{limits.cpu_share}}", "1",
+		"{{node}}", h.Name, "{{zone}}", h.Zone, "{{ip}}", ip, "{{limits.cpu_share}}", "1", "{{limits.memory_mb}}", "512",
 		"key: \"{{platform.address}}\"", "key: \"peers\"",
 		"{{platform.address}}", h.ToStore.Address(),
 		"{{listen.front}}", h.Callers, "{{listen.ready}}", h.Ready, "{{listen.directory}}", h.Directory,
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -24,7 +24,10 @@
 	// Zone is the availability zone of this host.
 	Zone object.Zone `yaml:"zone"`
 	// Capacity is the processor share of this host in cores. Zero: not known.
-	Capacity  float64   `yaml:"capacity"`
+	Capacity float64 `yaml:"capacity"`
+	// MemoryMB is the memory that the host may use, in MiB. From two thirds of it on, garbage
+	// is collected more often. Zero: not known.
+	MemoryMB  int64     `yaml:"memory-mb"`
 	Callers   Callers   `yaml:"callers"`
 	Peers     Peers     `yaml:"peers"`
 	Operators Operators `yaml:"operators"`
@@ -218,6 +221,9 @@
 	if s.Capacity < 0 {
 		c.fault("is negative", "capacity")
 	}
+	if s.MemoryMB < 0 {
+		c.fault("is negative", "memory-mb")
+	}
 	c.checkCommon(s)
 	if s.Gateway != nil {
 		c.checkGateway(s.Gateway)
