A grant that the front sees late is given back

Cause: a front that is paused for longer than peers.link-timeout is taken for gone; its arbiter withdraws its requests and gives their slots and quota to others. Ruled out: that the dispatch itself guards it, Ticket.grant compared link and attempt only. Change: a grant tells how long the arbiter has known the request. If it was on its way for longer than the time-out, by the steady clock or by the time of day (a suspended host sees only that), it is given back and the request registered again, once for each request. Test: TestGrantThatComesLateIsGivenBack; its last row dispatched the late grant before.

--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -35,6 +35,8 @@
 	link         link
 	// quotaCost is what the request will use of its quota, 0 once it was granted.
 	quotaCost float64
+	// sentBack is set once a grant that came too late was given back.
+	sentBack bool
 
 	decision chan wire.Down // Holds the grant or refusal.
 	preempt  chan struct{}  // Closed when the arbiter cancels the request.
@@ -102,13 +104,18 @@
 
 // grant takes a grant from a link and reports whether it is used. A grant from an
 // arbiter that the ticket has left is not, nor is a repeated one, nor one that answers an
-// earlier registration at the same arbiter.
+// earlier registration at the same arbiter. One that this host sees late is given back: the
+// arbiter has taken the host for gone meanwhile and counts neither slot nor quota any more.
 func (t *Ticket) grant(from link, g *wire.Grant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.link != from || t.phase != waiting || g.Attempt != t.registration.Attempt {
 		return false
 	}
+	if !t.sentBack && t.grantAge(time.Now(), g) > t.client.common.Settings.Peers.LinkTimeout {
+		t.sendBack()
+		return false
+	}
 	t.phase = granted
 	t.target = g.Target
 	t.client.usage.note(t.registration.Account, t.quotaCost)
@@ -117,6 +124,22 @@
 	return true
 }
 
+// grantAge returns how long a grant and the registration before it were on their way. A host
+// that was suspended sees it by the time of day only.
+func (t *Ticket) grantAge(now time.Time, g *wire.Grant) time.Duration {
+	elapsed := max(now.Sub(t.createdAt), now.Round(0).Sub(t.createdAt.Round(0)))
+	return elapsed - time.Duration(g.WaitedMS)*time.Millisecond
+}
+
+// sendBack gives a grant back and registers the request again, once. It needs the lock.
+func (t *Ticket) sendBack() {
+	t.sentBack = true
+	t.client.common.CountRetry("grant-late")
+	t.link.send(wire.Up{Finish: &wire.Finish{ID: t.id, Pool: t.registration.Pool}})
+	r := t.current(time.Now(), false)
+	t.link.send(wire.Up{Register: &r})
+}
+
 // refuse takes a refusal from a link. Only a waiting request can be refused.
 func (t *Ticket) refuse(from link, r *wire.Refuse) {
 	t.mu.Lock()
--- a/internal/peer/arbiter/ticket_test.go
+++ b/internal/peer/arbiter/ticket_test.go
@@ -308,3 +308,41 @@
 	require.Equal(t, wire.Waiting, again.Phase)
 	require.False(t, ticket.Dispatch())
 }
+
+// TestGrantThatComesLateIsGivenBack pauses a front between its registration and the grant. Its
+// arbiter has taken it for gone and gives its part of the quota to others.
+func TestGrantThatComesLateIsGivenBack(t *testing.T) {
+	rows := []struct {
+		name     string
+		pause    time.Duration
+		waitedMS int64
+		used     bool
+	}{
+		{"at once", time.Millisecond, 0, true},
+		{"after a wait in the queue", 3 * time.Second, 2990, true},
+		{"after a pause of the front", 3 * time.Second, 10, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, ticket, l := newTestTicket()
+				ticket.quotaCost, ticket.registration.QuotaCost = 5, 5
+				grant := &wire.Grant{ID: "r-1", Target: "engine-1", WaitedMS: row.waitedMS}
+				time.Sleep(row.pause)
+				require.Equal(t, row.used, ticket.grant(l, grant))
+				require.Equal(t, row.used, ticket.Dispatch())
+				if row.used {
+					return
+				}
+				require.NotNil(t, l.sent[0].Finish, "slot and quota are given back")
+				require.False(t, l.sent[0].Finish.Dispatched)
+				again := l.last().Register
+				require.NotNil(t, again)
+				require.InDelta(t, 5, again.QuotaCost, 0, "the next grant counts")
+				grant.Attempt = again.Attempt
+				time.Sleep(row.pause)
+				require.True(t, ticket.grant(l, grant), "a slow host is not kept waiting for ever")
+			})
+		})
+	}
+}
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -118,6 +118,8 @@
 	Attempt int               `json:"attempt,omitempty"` // Of the registration.
 	ID      RequestID         `json:"id"`
 	Target  object.TargetName `json:"target"`
+	// WaitedMS is how long the request has waited as the arbiter knows.
+	WaitedMS int64 `json:"waited-ms,omitempty"`
 }
 
 // Refuse tells the front that a waiting request will not be run.
