Listed hosts that do not answer yet are asked again

Change: each read, changed or not, asks the listed hosts that nobody has vouched for. Test: TestListedHostThatComesUpLaterIsFound, both rows; the first fails without the change.

--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -54,6 +54,8 @@
 	mu    sync.Mutex
 	table *Table
 	sync  syncer
+	// listed is the platform's list as it was last read.
+	listed []hosts.Group
 	// published is the version of the table that is on the board.
 	published uint64
 
@@ -320,14 +322,19 @@
 func (m *Controller) readListOnce(ctx context.Context) {
 	groups, err := m.lister.List(ctx)
 	switch {
+	case errors.Is(err, hosts.ErrUnchanged):
+		// Hosts that have not answered yet are asked again.
 	case err == nil:
-		m.takeList(groups)
-		m.join(ctx, len(groups) > 0)
-	case errors.Is(err, hosts.ErrUnchanged) || ctx.Err() != nil:
+		m.listed = groups
+	case ctx.Err() != nil:
+		return
 	default:
 		m.common.CountRetry("host-list")
 		m.log.WithError(err).Warn("List of hosts not read.")
+		return
 	}
+	m.takeList(m.listed)
+	m.join(ctx, len(m.listed) > 0)
 }
 
 // joinProbes is the number of listed hosts that a new host asks for all members at once.
