--- a/internal/entry/gateway/streams_test.go
+++ b/internal/entry/gateway/streams_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -59,6 +60,59 @@
 	require.Equal(t, http.StatusOK, got.status)
 }
 
+// TestSlowStreamsAreNotCutAndStalledOnesEnd plays targets that are slow. One that sends its
+// events late is waited for; one that sends bytes but no events is given up at the time of
+// its route.
+func TestSlowStreamsAreNotCutAndStalledOnesEnd(t *testing.T) {
+	every := func(pause time.Duration, text func(n int) string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			for n := 1; n <= 100 && r.Context().Err() == nil; n++ {
+				_, _ = fmt.Fprint(w, text(n))
+				_ = http.NewResponseController(w).Flush()
+				if text(n) == "" {
+					return
+				}
+				time.Sleep(pause)
+			}
+		}
+	}
+	upTo := func(last int) func(int) string {
+		return func(n int) string {
+			if n > last {
+				return ""
+			}
+			return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+		}
+	}
+	always := func(text string) func(int) string { return func(int) string { return text } }
+	rows := []struct {
+		name, path string
+		target     http.HandlerFunc
+		whole      bool
+	}{
+		{"slow but sound", "/fixed/x", every(600*time.Millisecond, upTo(5)), true},
+		{"a byte now and then", "/short/x", every(20*time.Millisecond, always("x")), false},
+		{"lines of comment", "/short/x", every(20*time.Millisecond, always(": ping\n")), false},
+		{"half an event now and then", "/short/x", every(20*time.Millisecond, always("data: a\n")), false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, row.target)
+			began := time.Now()
+			got := s.send("POST", row.path, "prompt")
+			if row.whole {
+				require.NoError(t, got.err)
+				require.Equal(t, wholeStream(5), got.body)
+				return
+			}
+			require.Equal(t, http.StatusGatewayTimeout, got.status)
+			require.Less(t, time.Since(began), 2*time.Second)
+			<-s.targets[0].done
+		})
+	}
+}
+
 func TestEventSplitterKeepsEventsWhole(t *testing.T) {
 	rows := []struct {
 		name   string
