A host sleeps while no target has vanished

Change: the loop is woken by the first target that vanishes. The tests of lapsed targets stand as they were. Tests read the fake store's revision under its lock.

--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -77,7 +77,9 @@
 	base        *object.Snapshot // Without discovered targets.
 	targets     map[string]*object.Target
 	// vanished are entries of targets that are taken for gone at the given time.
-	vanished       map[string]time.Time
+	vanished map[string]time.Time
+	// lapsed receives a value when a target has vanished.
+	lapsed         chan struct{}
 	targetRevision object.Revision
 	// mustList is set when the history from which to go on is gone.
 	mustList bool
@@ -102,6 +104,7 @@
 		known:      newKnown(),
 		targets:    map[string]*object.Target{},
 		vanished:   map[string]time.Time{},
+		lapsed:     make(chan struct{}, 1),
 		startedAt:  time.Now(),
 		stop:       stop,
 	}
--- a/internal/control/discovery/site_test.go
+++ b/internal/control/discovery/site_test.go
@@ -63,6 +63,13 @@
 	f.wake()
 }
 
+// current returns the revision of the store.
+func (f *fakeTree) current() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
 // followed returns the number of watches so far.
 func (f *fakeTree) followed() int {
 	f.mu.Lock()
--- a/internal/control/discovery/targets.go
+++ b/internal/control/discovery/targets.go
@@ -47,6 +47,10 @@
 	}
 	if since := time.Since(d.troubleAt); since < lapseGrace {
 		d.vanished[key] = time.Now().Add(lapseGrace)
+		select {
+		case d.lapsed <- struct{}{}:
+		default: // The loop is awake.
+		}
 		d.log.WithFields(logrus.Fields{"key": key, "store-trouble-age": since.String()}).Info("Entry expired around an outage, target kept for now.")
 		return false
 	}
@@ -60,15 +64,26 @@
 	delete(d.vanished, key)
 }
 
-// expireLoop drops targets that have not come back after an outage.
+// expireLoop drops targets that have not come back after an outage. It sleeps while no target
+// has vanished.
 func (d *Controller) expireLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, lapseGrace/10)
-		d.expire(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.lapsed:
+		}
+		for d.expire(time.Now()) > 0 {
+			pause(ctx, lapseGrace/10)
+			if ctx.Err() != nil {
+				return
+			}
+		}
 	}
 }
 
-func (d *Controller) expire(now time.Time) {
+// expire drops the targets whose time is up and returns how many are still waited for.
+func (d *Controller) expire(now time.Time) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
@@ -81,4 +96,5 @@
 	if changed {
 		d.publish()
 	}
+	return len(d.vanished)
 }
