A new host asks listed hosts of other zones too

The listed hosts that a new host asks were those of its own zone first, so after a start of all hosts each zone knew only itself (7 or 8 of 128 members) until one of the few hosts that read the list again asked another zone, five seconds later on the users' platform: an arbiter for each zone meanwhile. Change: half of the four that are asked are in other zones.

--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -338,16 +338,16 @@
 }
 
 // joinProbes is the number of listed hosts that a new host asks for all members at once.
-const joinProbes = 3
+const joinProbes = 4
 
 // join asks listed hosts that nobody has vouched for, so that a new host knows the others
 // before it takes requests. listed tells whether the list names any host.
 func (m *Controller) join(ctx context.Context, listed bool) {
 	m.mu.Lock()
-	unproven := m.table.Unproven()
+	unproven := m.table.Unproven(joinProbes)
 	m.mu.Unlock()
 	var probes sync.WaitGroup
-	for _, member := range unproven[:min(len(unproven), joinProbes)] {
+	for _, member := range unproven {
 		probes.Go(func() {
 			if _, err := m.exchange(ctx, member, true); err != nil && ctx.Err() == nil {
 				m.log.WithError(err).WithField("peer", member.Name).Info("Listed host not reached.")
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -211,19 +211,25 @@
 	return ""
 }
 
-// Unproven returns the listed members that nobody has vouched for yet, in random order,
-// those of the own availability zone first.
-func (t *Table) Unproven() []board.Member {
-	var members []board.Member
+// Unproven returns up to n listed members that nobody has vouched for yet, drawn at random.
+// Half of them are in other availability zones: a zone that only knew itself would take
+// itself for the whole fleet.
+func (t *Table) Unproven(n int) []board.Member {
+	var near, far []board.Member
 	for _, e := range t.entries {
-		if e.Status == Listed && e.Member.PeerURL != "" {
-			members = append(members, e.Member)
+		switch {
+		case e.Status != Listed || e.Member.PeerURL == "":
+		case t.distance(e.Member) == 0:
+			near = append(near, e.Member)
+		default:
+			far = append(far, e.Member)
 		}
 	}
-	slices.SortFunc(members, func(a, b board.Member) int { return strings.Compare(a.Name, b.Name) })
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	slices.SortStableFunc(members, func(a, b board.Member) int { return t.distance(a) - t.distance(b) })
-	return members
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	fromNear := max(min(len(near), n-n/2), n-len(far))
+	fromNear = min(fromNear, len(near))
+	return append(near[:fromNear], far[:min(len(far), n-fromNear)]...)
 }
 
 // distance is 0 for members of the own availability zone and 1 for others.
