A host that knows no other does not watch the store

Cause: a host that has just started takes itself for one of the few that watch. When all start at once all 295 watch, and each target that registers meanwhile ends their calls, up to twenty a second from each host. Change: only a host that has asked the others watches; before it confirms its list once and then asks as seldom as one that hears nothing. Test: TestHostThatKnowsNoOtherDoesNotWatch: at most 2 calls while 40 targets register in two seconds.

--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -11,8 +11,10 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinglock/internal/control/member"
+	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/board"
+	"redwinglock/internal/state/common"
 	"redwinglock/internal/state/object"
 )
 
@@ -203,6 +205,27 @@
 	})
 }
 
+// TestHostThatKnowsNoOtherDoesNotWatch starts a host that has not found the others yet, while
+// all targets register. It must not take itself for one of the few that watch the store.
+func TestHostThatKnowsNoOtherDoesNotWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := newFakeTree()
+		tree.set("config", "1")
+		b := board.New(board.Member{Name: "entry-1"})
+		d := New(common.Discard(), b, tree, testTranslator{}, http2.New(time.Second, nil))
+		for i := range 40 {
+			tree.set(fmt.Sprint("targets/i-", i), readyTarget)
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.LessOrEqual(t, tree.followed(), 2)
+		require.NotNil(t, b.Config(), "it knows what it needs to serve")
+		b.SetJoined()
+		time.Sleep(settleTime)
+		require.Greater(t, tree.followed(), 2)
+		require.NoError(t, d.Close())
+	})
+}
+
 // TestChangesBeforeThoseOfAPeerAreIgnored lets a watch answer late, after a peer has told
 // of newer changes.
 func TestChangesBeforeThoseOfAPeerAreIgnored(t *testing.T) {
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -135,14 +135,14 @@
 
 // mayWait returns how long this host may go without asking the store.
 func (d *Controller) mayWait() time.Duration {
-	watches := d.watches()
+	watches := d.hasJoined() && d.watches()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case d.revision == 0:
 		return 0
 	case d.confirmedAt.IsZero():
-		if watches && d.hasJoined() {
+		if watches {
 			return 0
 		}
 		return firstPatience - time.Since(d.startedAt)
@@ -152,8 +152,8 @@
 	return maxAge - time.Since(d.confirmedAt)
 }
 
-// hasJoined reports whether the other hosts have been asked. Before, a host takes itself for
-// one that watches.
+// hasJoined reports whether the other hosts have been asked. Before, a host would take itself
+// for one that watches, and when all start at once all would.
 func (d *Controller) hasJoined() bool {
 	select {
 	case <-d.board.Joined():
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -130,7 +130,12 @@
 func (b *Board) Joined() <-chan struct{} { return b.joined }
 
 // SetJoined marks that the other hosts have been asked.
-func (b *Board) SetJoined() { b.joinedOnce.Do(func() { close(b.joined) }) }
+func (b *Board) SetJoined() {
+	b.joinedOnce.Do(func() {
+		close(b.joined)
+		b.notify()
+	})
+}
 
 // SetStopping marks the beginning of a planned stop.
 func (b *Board) SetStopping() {
