A host that was asked first joins too

The log shows requests that waited 400 ms, 10 in 100: hosts hold each request for that time until they have asked the others. A host that another one asked before it found anybody in the list knew a live peer, so it never read the list and never joined. Ruled out: the arbiter (one, on a strong host, all fronts attached to it), slow hosts (none announced), the distribution of callers, late grants. Change: the list is read until the others have been asked. Test: TestHostThatWasAskedFirstJoins, fails without the change.

--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -135,7 +135,9 @@
 
 // mayWait returns how long this host may go without asking the store.
 func (d *Controller) mayWait() time.Duration {
-	watches := d.hasJoined() && d.watches()
+	// A host that has not asked the others yet would take itself for one that watches, and
+	// when all start at once all would.
+	watches := d.board.HasJoined() && d.watches()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -152,17 +154,6 @@
 	return maxAge - time.Since(d.confirmedAt)
 }
 
-// hasJoined reports whether the other hosts have been asked. Before, a host would take itself
-// for one that watches, and when all start at once all would.
-func (d *Controller) hasJoined() bool {
-	select {
-	case <-d.board.Joined():
-		return true
-	default:
-		return false
-	}
-}
-
 func (d *Controller) readPeer(ctx context.Context, peerURL string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -296,20 +296,22 @@
 	return 0
 }
 
-// joinInterval is the time between two reads of the list by a host that knows no other.
+// joinInterval is the time between two reads of the list by a host that has not joined the
+// others yet, or knows none.
 const joinInterval = 200 * time.Millisecond
 
 // readList reads the platform's list of hosts at intervals, on the few hosts that do so
-// for all, and on a host that has no live peer yet.
+// for all, and on a host that has not asked the others yet. That one of them has asked this
+// host does not tell it of the rest.
 func (m *Controller) readList(ctx context.Context) {
 	for ctx.Err() == nil {
 		members := m.board.Members()
-		alone := len(members.Live) == 1
-		if alone || members.Ranks("host-list", m.common.Settings.Hosts.Readers) {
+		mustJoin := len(members.Live) == 1 || !m.board.HasJoined()
+		if mustJoin || members.Ranks("host-list", m.common.Settings.Hosts.Readers) {
 			m.readListOnce(ctx)
 		}
 		wait := m.common.Settings.Hosts.Interval
-		if alone {
+		if mustJoin {
 			wait = min(wait, joinInterval)
 		}
 		select {
--- a/internal/control/member/controller_test.go
+++ b/internal/control/member/controller_test.go
@@ -83,3 +83,37 @@
 		})
 	}
 }
+
+// lateLister has an empty list for a while.
+type lateLister struct {
+	from time.Time
+	onceLister
+}
+
+// List implements Lister.
+func (l *lateLister) List(ctx context.Context) ([]hosts.Group, error) {
+	if time.Now().Before(l.from) {
+		return nil, nil
+	}
+	return l.onceLister.List(ctx)
+}
+
+// TestHostThatWasAskedFirstJoins lets a peer ask a host before the host finds anybody in the
+// list. It must join all the same: its requests wait until it has.
+func TestHostThatWasAskedFirstJoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := NewTable(board.Member{Name: "entry-2", PeerURL: "http://entry-2"}, 1)
+		lister := &lateLister{from: time.Now().Add(time.Second)}
+		b := board.New(board.Member{Name: "entry-1", PeerURL: "http://entry-1"})
+		c := common.Discard()
+		c.Settings.Hosts.Readers = 0 // It is not one of those that read the list for all.
+		m := NewController(c, b, &peerTransport{peer: peer}, lister, deafNudger{})
+		m.Answer(peer.Compose("entry-1", 0, Knowledge{Config: 1}))
+		require.Len(t, b.Members().Live, 2)
+		require.False(t, b.HasJoined())
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.True(t, b.HasJoined())
+		require.NoError(t, m.Close())
+	})
+}
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -129,6 +129,16 @@
 // host may believe that it is alone.
 func (b *Board) Joined() <-chan struct{} { return b.joined }
 
+// HasJoined reports whether Joined is closed.
+func (b *Board) HasJoined() bool {
+	select {
+	case <-b.joined:
+		return true
+	default:
+		return false
+	}
+}
+
 // SetJoined marks that the other hosts have been asked.
 func (b *Board) SetJoined() {
 	b.joinedOnce.Do(func() {
