What targets say in their answers binds: leaving, no requests for a while, another target at the address

Cause: a target's Server-Leaving header and the Retry-After of its 503 were not read at all; a 421 counted as a full target, used up a try of the route, and after three of them or an empty budget the caller got 502, which promises nothing though nothing had run (the reason target-refused stood for both). Ruled out: a lost answer behind the 502 (the only path to it is the refusal of all targets that were asked). Change: a book of notices by target and run (internal/fleet/notice), kept by each host, which binds it at once, and by the arbiter, which closes the target for all hosts; a host that is granted such a target tells the arbiter again. Slots of a target that wants no requests count as gone; if all do, callers are told when the first may be asked. 421 closes the address and costs no try; full targets are answered 503 targets-full.

--- a/internal/entry/gateway/dialect.go
+++ b/internal/entry/gateway/dialect.go
@@ -60,6 +60,10 @@
 	NotRun bool
 	// Wrong says that another target has the address now.
 	Wrong bool
+	// Leaving says that the target finishes what it has and wants nothing new.
+	Leaving bool
+	// RetryAfter is how long a target that has refused wants no requests, as it was sent.
+	RetryAfter string
 	// ID is the id of the request that was answered.
 	ID string
 	// Sealed answers bear the target's proof that they are its own.
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxRejections bounds how many targets may refuse one request.
+	// maxRejections bounds how many targets may refuse one request as full.
 	maxRejections = 3
+	// maxMoved bounds how many targets of one request may turn out to have lost their address.
+	maxMoved = 10
 	// rejectedRetryAfter is the retry hint when all targets that were asked have refused.
 	rejectedRetryAfter = 300 * time.Millisecond
 	// minLeft is the shortest time that is worth sending a request for.
@@ -78,14 +80,16 @@
 // request are replaced.
 func (s *Server) attempt(ctx context.Context, caller *http.Request, r *request, a *answer) (attemptResult, error) {
 	ticket := s.arbiters.Register(s.registration(r, a.started))
-	for rejections := 0; ; {
+	rejections, moved := 0, 0
+	for {
 		name, err := s.arbiters.Wait(ctx, ticket)
 		if err != nil {
 			return answered, s.waitFailed(a, err)
 		}
 		target := s.findTarget(r, name)
 		if target == nil {
-			r.log.WithField("target", name).Info("Target not known here.")
+			r.log.WithField("target", name).Info("Target declined: not known here, or it wants no requests.")
+			s.notices.tellAgain(r.pool, s.lookUp(r.pool, name), time.Now())
 			ticket.Decline()
 			continue
 		}
@@ -106,16 +110,25 @@
 				return answered, s.waitFailed(a, outcome.Refuse(outcome.DeadlinePassed, 0, "the time was up before a target was reached"))
 			}
 			ticket.Return(finish)
+		case errors.Is(err, errMoved):
+			r.tried = append(r.tried, name)
+			moved++
+			s.common.CountRetry("target-moved")
+			finish.Rejected = true
+			if moved >= maxMoved || !s.repeats.take(r.pool, time.Now()) {
+				ticket.Finish(finish)
+				return answered, s.waitFailed(a, outcome.Refuse(outcome.NoTarget, rejectedRetryAfter, "other targets have the addresses of those that were asked"))
+			}
+			ticket.Return(finish)
 		case errors.Is(err, errNotRun):
 			r.tried = append(r.tried, name)
 			rejections++
 			s.common.CountRetry("target-rejected")
+			finish.Rejected = true
 			if rejections >= maxRejections || !s.repeats.take(r.pool, time.Now()) {
-				finish.Rejected = true
 				ticket.Finish(finish)
-				return answered, s.waitFailed(a, outcome.Refuse(outcome.TargetRefused, rejectedRetryAfter, "the targets are full"))
+				return answered, s.waitFailed(a, outcome.Refuse(outcome.TargetsFull, rejectedRetryAfter, "the targets are full"))
 			}
-			finish.Rejected = true
 			ticket.Return(finish)
 		case errors.Is(err, errCallerGone):
 			ticket.Finish(finish)
@@ -123,6 +136,7 @@
 		default:
 			a.mayHaveRun = true
 			r.tried = append(r.tried, name)
+			r.runs++
 			finish.Failed = ctx.Err() == nil
 			ticket.Finish(finish)
 			return lost, err
@@ -142,12 +156,21 @@
 // findTarget looks a granted target up in the newest configuration. It returns nil if the
 // target has left or must not get work any more.
 func (s *Server) findTarget(r *request, name object.TargetName) *object.Target {
-	view := s.board.Config().Pool(r.pool)
+	t := s.lookUp(r.pool, name)
+	if t == nil || t.Drain || !s.notices.open(t, time.Now()) {
+		return nil
+	}
+	return t
+}
+
+// lookUp returns a target of a pool by the newest configuration, or nil.
+func (s *Server) lookUp(pool object.PoolName, name object.TargetName) *object.Target {
+	view := s.board.Config().Pool(pool)
 	if view == nil {
 		return nil
 	}
 	for _, t := range view.Targets {
-		if t.Name == name && !t.Drain {
+		if t.Name == name {
 			return t
 		}
 	}
@@ -157,5 +180,5 @@
 // repeatsError reports whether an error that the target answered is worth another attempt.
 func (s *Server) repeatsError(r *request, a *answer) bool {
 	mayRunAgain := r.route.Repeatable() || r.route.Resumable
-	return mayRunAgain && !a.started && len(r.tried)+1 < r.route.MaxAttempts && time.Until(r.deadline) > minLeft && s.repeats.left(r.pool, time.Now())
+	return mayRunAgain && !a.started && r.runs+1 < r.route.MaxAttempts && time.Until(r.deadline) > minLeft && s.repeats.left(r.pool, time.Now())
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -46,6 +46,7 @@
 	targets  *passthrough.Client
 	dialect  Dialect
 	repeats  *repeatBudget
+	notices  *targetNotices
 	// routine bounds the log lines about answered requests.
 	routine  common.PerSecond
 	patience *patience
@@ -67,6 +68,7 @@
 		targets:  targets,
 		dialect:  dialect,
 		repeats:  newRepeatBudget(c.Settings.Gateway.RepeatShare, c.Settings.Gateway.RepeatSlack, func() int { return b.Members().Registered }),
+		notices:  newTargetNotices(arbiters),
 		routine:  common.PerSecond{Limit: routinePerSecond},
 		patience: newPatience(),
 		run:      b.Members().Self.Run,
@@ -110,7 +112,9 @@
 	attempts int
 	// tried are the targets that have got the request and may have run it, or refused it.
 	tried []object.TargetName
-	log   *logrus.Entry
+	// runs is how many of them may have run it.
+	runs int
+	log  *logrus.Entry
 }
 
 func (s *Server) handle(c *gin.Context) {
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -18,11 +18,15 @@
 // errCallerGone says that the answer could not be passed on because the caller has left.
 var errCallerGone = errors.New("caller has gone")
 
-// errNotRun says that the target has not run the request.
-var errNotRun = errors.New("target has not run the request")
+var (
+	// errNotRun says that the target has not run the request.
+	errNotRun = errors.New("target has not run the request")
+	// errMoved says that another target has the address, which has not run the request.
+	errMoved = errors.New("another target has the address")
+)
 
 // send sends the request to one target and passes the answer on. After an error that is
-// neither errNotRun nor passthrough.ErrNotSent the request may have run.
+// not errNotRun, errMoved or passthrough.ErrNotSent the request may have run.
 func (s *Server) send(ctx context.Context, caller *http.Request, r *request, target *object.Target, a *answer) (wire.Finish, error) {
 	left := time.Until(r.deadline)
 	if left < minLeft {
@@ -85,9 +89,15 @@
 // of the target itself.
 func (s *Server) checkReply(r *request, a *answer, target *object.Target, response *http.Response, failed bool) error {
 	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
+	if reply.NotRun || reply.Wrong || reply.ID == r.demand.ID {
+		s.noteReply(r, target, reply)
+	}
 	switch {
+	case reply.Wrong:
+		r.log.WithField("target", target.Name).Info("Another target has the address.")
+		return errMoved
 	case reply.NotRun:
-		r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode, "wrong-target": reply.Wrong}).Info("Target refused.")
+		r.log.WithFields(logrus.Fields{"target": target.Name, "status": response.StatusCode}).Info("Target refused.")
 		return errNotRun
 	case reply.ID != r.demand.ID:
 		return outcome.Lost(outcome.Unknown, outcome.TargetInvalidResponse, "target %s answered another request", target.Name)
--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -51,7 +51,10 @@
 }
 
 func (testDialect) ReadReply(status int, h http.Header) Reply {
-	return Reply{NotRun: h.Get("Not-Run") != "", ID: h.Get("Id"), Sealed: h.Get("Seal") != ""}
+	return Reply{
+		NotRun: h.Get("Not-Run") != "", Wrong: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
+		ID: h.Get("Id"), Sealed: h.Get("Seal") != "", RetryAfter: h.Get("Retry-After"),
+	}
 }
 
 func (testDialect) ReadinessPath() string { return "/ready" }
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -94,6 +94,11 @@
 	return t
 }
 
+// Notify tells the arbiter of a pool what a target has said of itself.
+func (c *Client) Notify(n wire.TargetNotice) {
+	c.linkFor(n.Pool).send(wire.Up{Notice: &n})
+}
+
 // tellUse tells the arbiter of the pools that share quotas what this front has used, when
 // its requests begin to go there.
 func (c *Client) tellUse(pool object.PoolName, l link) {
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -168,6 +168,8 @@
 		s.server.worker(message.Finish.Pool).finish(now, s, *message.Finish)
 	case message.Used != nil:
 		s.server.quotas.Learn(now, s.host, *message.Used)
+	case message.Notice != nil:
+		s.server.worker(message.Notice.Pool).notice(now, *message.Notice)
 	case message.Left:
 		s.server.attached.drop(s)
 		s.server.quotas.Forget(s.host)
@@ -290,6 +292,13 @@
 	}
 }
 
+// notice takes what a target has said of itself.
+func (w *worker) notice(now time.Time, n wire.TargetNotice) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.carryOut(w.shard.Notice(now, n))
+}
+
 // tick reports whether requests are waiting.
 func (w *worker) tick(now time.Time) bool {
 	w.mu.Lock()
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -113,6 +113,20 @@
 	Costs []float64 `json:"costs"`
 }
 
+// TargetNotice tells the arbiter of a pool what a target has said of itself in an answer.
+type TargetNotice struct {
+	Pool   object.PoolName   `json:"pool"`
+	Target object.TargetName `json:"target"`
+	// StartedMS names the run of the target: when it started, in Unix milliseconds.
+	StartedMS int64 `json:"started-ms,omitempty"`
+	// Leaving targets take no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Moved says that another target has the address.
+	Moved bool `json:"moved,omitempty"`
+	// QuietMS is for how long the target wants no requests.
+	QuietMS int64 `json:"quiet-ms,omitempty"`
+}
+
 // Grant permits the front to dispatch a request to a target.
 type Grant struct {
 	Attempt int               `json:"attempt,omitempty"` // Of the registration.
@@ -143,6 +157,8 @@
 	Finish   *Finish   `json:"finish,omitempty"`
 	Withdraw *Withdraw `json:"withdraw,omitempty"`
 	Used     *Used     `json:"used,omitempty"`
+	// Notice is read as a heartbeat by builds that do not know it.
+	Notice *TargetNotice `json:"notice,omitempty"`
 	// Left says that the new requests of the front go to another arbiter from now on.
 	Left bool `json:"left,omitempty"`
 }
--- a/internal/pool/shard/health.go
+++ b/internal/pool/shard/health.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"redwinglock/internal/peer/wire"
 )
 
 // fail takes a target out until its next attempt, with exponential backoff.
@@ -35,11 +37,37 @@
 
 // rejected pauses a target that has refused a request as full.
 func (s *Shard) rejected(now time.Time, t *target) {
+	s.pause(t, now.Add(rejectPause))
+}
+
+// pause keeps work from a target until the given time.
+func (s *Shard) pause(t *target, until time.Time) {
 	if t.pausedUntil.IsZero() {
 		s.paused = append(s.paused, t)
 	}
-	t.pausedUntil = now.Add(rejectPause)
+	if until.After(t.pausedUntil) {
+		t.pausedUntil = until
+	}
+	s.fixReady(t)
+}
+
+// Notice takes what a target has said of itself in an answer to some front. It gets no new
+// work from then on, for as long as it said or until it starts again.
+func (s *Shard) Notice(now time.Time, n wire.TargetNotice) []Decision {
+	s.notices = s.notices.With(now, n)
+	t := s.targets[n.Target]
+	if t == nil || t.startedMS != n.StartedMS {
+		return s.step(now)
+	}
+	state := s.notices.State(n.Target, n.StartedMS)
+	t.closed = t.closed || state.Closed()
+	if now.Before(state.QuietUntil) {
+		t.quiet = true
+		s.pause(t, state.QuietUntil)
+	}
 	s.fixReady(t)
+	s.countSlots()
+	return s.step(now)
 }
 
 // failedAnswer counts an answer that was broken off or an error of the target. A target that
@@ -79,11 +107,23 @@
 			return false
 		}
 		t.pausedUntil = time.Time{}
+		if t.quiet {
+			t.quiet = false
+			s.countSlots()
+		}
 		s.fixReady(t)
 		return true
 	})
 }
 
+// opensAt returns when the target may be tried again, zero if it may be now.
+func (t *target) opensAt() time.Time {
+	if t.quiet && t.pausedUntil.After(t.retryAt) {
+		return t.pausedUntil
+	}
+	return t.retryAt
+}
+
 // anyOpen reports whether some target may get work now or after a backoff.
 func (s *Shard) anyOpen() bool {
 	if s.ready.len() > 0 {
@@ -97,10 +137,10 @@
 	return false
 }
 
-// allUnreachable reports whether the last attempt to connect has failed at every open
-// target, and when the first of them is tried again.
+// allUnreachable reports whether no open target may be tried now, because the last attempt to
+// connect has failed or it wants no requests for a while, and when the first of them may.
 func (s *Shard) allUnreachable() (time.Time, bool) {
-	if s.ready.len() > 0 || len(s.failed) == 0 {
+	if s.ready.len() > 0 || len(s.failed)+len(s.paused) == 0 {
 		return time.Time{}, false
 	}
 	var first time.Time
@@ -108,14 +148,13 @@
 		if t.closed {
 			continue
 		}
-		if t.retryAt.IsZero() {
+		opens := t.opensAt()
+		if opens.IsZero() {
 			return time.Time{}, false
 		}
-		if first.IsZero() || t.retryAt.Before(first) {
-			first = t.retryAt
+		if first.IsZero() || opens.Before(first) {
+			first = opens
 		}
 	}
 	return first, !first.IsZero()
 }
-
-// compareTargets finds stragglers: targets slower than the median of their generation.
--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -110,7 +110,11 @@
 // retryAfter suggests when to come back: when the work ahead is likely to be done,
 // spread by up to half so that callers do not return together.
 func (s *Shard) retryAfter(now time.Time, q *request) time.Duration {
-	return s.returnAfter(now, q, min(max(s.rate.wait(s.ahead(q)), minRetryAfter), maxRetryAfter))
+	wait := min(max(s.rate.wait(s.ahead(q)), minRetryAfter), maxRetryAfter)
+	if opens, closed := s.allUnreachable(); closed {
+		wait = max(wait, opens.Sub(now))
+	}
+	return s.returnAfter(now, q, wait)
 }
 
 // returnAfter lets a request come back after the wait, or later if it has the time.
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -8,6 +8,7 @@
 	"math"
 	"time"
 
+	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/object"
 )
@@ -36,6 +37,8 @@
 	paused   []*target // Targets that have refused a request just now.
 	prefixes *prefixMap
 	leaving  map[object.TargetName]bool
+	// notices is what targets have said of themselves.
+	notices  *notice.Book
 	rate     drainRate
 	response responseTime
 	speeds   speeds
@@ -121,14 +124,10 @@
 		}
 		t.generation = spec.Generation
 		t.configure(spec, view)
-		t.closed = spec.Drain || s.leaving[spec.Name]
+		t.closed = spec.Drain || s.leaving[spec.Name] || s.notices.State(spec.Name, spec.StartedMS).Closed()
 		s.fixReady(t)
 	}
-	s.totalSlots = 0
 	for name, t := range s.targets {
-		if !t.closed && wanted[name] {
-			s.totalSlots += t.limit
-		}
 		if wanted[name] {
 			continue
 		}
@@ -138,6 +137,17 @@
 			delete(s.targets, name)
 		}
 	}
+	s.countSlots()
+}
+
+// countSlots counts the slots of the targets that take work.
+func (s *Shard) countSlots() {
+	s.totalSlots = 0
+	for _, t := range s.targets {
+		if !t.closed && !t.quiet {
+			s.totalSlots += t.limit
+		}
+	}
 }
 
 // Tick acts on the passing of time.
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -61,6 +61,8 @@
 	startedMS int64
 	// pausedUntil is set while the target refuses requests.
 	pausedUntil time.Time
+	// quiet is set while the pause is the target's own wish, which may be long.
+	quiet bool
 	// errorRate is the recent share of failed answers.
 	errorRate float64
 	// excess is how far the error rate is above that of the pool, beyond what is usual.
@@ -178,6 +180,7 @@
 	}
 }
 
+// compareTargets finds stragglers: targets slower than the median of their generation.
 func (s *Shard) compareTargets(now time.Time) {
 	if now.Sub(s.comparedAt) < compareInterval {
 		return
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -49,6 +49,7 @@
 	KeyReused             Reason = "idempotency-key-reused"
 	CallerGone            Reason = "caller-gone"
 	Preempted             Reason = "preempted"
+	TargetsFull           Reason = "targets-full"
 	TargetRefused         Reason = "target-refused"
 	TargetLost            Reason = "target-lost"
 	TargetSilent          Reason = "target-silent"
@@ -77,6 +78,7 @@
 	KeyReused:             http.StatusUnprocessableEntity,
 	CallerGone:            499,
 	Preempted:             http.StatusBadGateway,
+	TargetsFull:           http.StatusServiceUnavailable,
 	TargetRefused:         http.StatusBadGateway,
 	TargetLost:            http.StatusBadGateway,
 	TargetSilent:          http.StatusGatewayTimeout,
