Rollouts: requests of a pool move to another version in steps, judged by what all answers show, by one record

Cause: an order under op/rollout was not read; targets of a new version got requests like all others, a bad one without bound, and no status was written.

--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -51,6 +51,12 @@
 	Config(data []byte) (object.Revision, []object.Object, error)
 	// Target decodes the entry of a target.
 	Target(key string, data []byte) (*object.Target, error)
+	// RolloutsPrefix is the prefix below which the operator orders rollouts.
+	RolloutsPrefix() string
+	// Rollout decodes an order: its pool, the version and the duration.
+	Rollout(data []byte) (*object.Rollout, error)
+	// RolloutStatus returns the item that tells the operator how far a rollout has come.
+	RolloutStatus(r *object.Rollout) (store.Put, error)
 }
 
 // Controller follows the store.
@@ -76,6 +82,7 @@
 	known       *known
 	base        *object.Snapshot // Without discovered targets.
 	targets     map[string]*object.Target
+	rollouts    rollouts
 	// vanished are entries of targets that are taken for gone at the given time.
 	vanished map[string]time.Time
 	// lapsed receives a value when a target has vanished.
@@ -103,6 +110,7 @@
 		hint:       make(chan peerHint, 1),
 		known:      newKnown(),
 		targets:    map[string]*object.Target{},
+		rollouts:   newRollouts(),
 		vanished:   map[string]time.Time{},
 		lapsed:     make(chan struct{}, 1),
 		startedAt:  time.Now(),
@@ -336,6 +344,10 @@
 		return !i.Deleted && d.takeConfig(i)
 	case strings.HasPrefix(i.Key, d.translator.TargetsPrefix()):
 		return d.takeTarget(i)
+	case strings.HasPrefix(i.Key, d.translator.RolloutsPrefix()):
+		return d.takeOrder(i)
+	case strings.HasPrefix(i.Key, RolloutsPrefix):
+		return d.takeRecord(i)
 	}
 	return false
 }
@@ -375,5 +387,5 @@
 	for _, t := range d.targets {
 		targets = append(targets, t)
 	}
-	d.board.SetConfig(d.base.WithTargets(d.targetRevision, targets))
+	d.board.SetConfig(d.base.WithTargets(d.targetRevision, targets).WithRollouts(d.rollouts.current(d.targets)))
 }
--- a/internal/control/discovery/site_test.go
+++ b/internal/control/discovery/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -206,6 +207,20 @@
 	return revision, []object.Object{&object.Pool{Name: "p", Type: object.EnginePool, Discovered: true}}, nil
 }
 
+func (testTranslator) RolloutsPrefix() string { return "orders/" }
+
+func (testTranslator) Rollout(data []byte) (*object.Rollout, error) {
+	order := &object.Rollout{}
+	if err := json.Unmarshal(data, order); err != nil {
+		return nil, fmt.Errorf("decode order: %w", err)
+	}
+	return order, nil
+}
+
+func (testTranslator) RolloutStatus(r *object.Rollout) (store.Put, error) {
+	return store.Put{Key: "status/" + string(r.Pool), Data: []byte(r.State)}, nil
+}
+
 func (testTranslator) Target(key string, data []byte) (*object.Target, error) {
 	var t object.Target
 	if err := json.Unmarshal(data, &t); err != nil {
--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -16,6 +16,7 @@
 
 	"redwinglock/internal/control/discovery"
 	"redwinglock/internal/control/member"
+	"redwinglock/internal/control/rollout"
 	"redwinglock/internal/entry/gateway"
 	"redwinglock/internal/fleet/passthrough"
 	"redwinglock/internal/peer/front"
@@ -57,6 +58,7 @@
 			newBoard,
 			newDiscovery,
 			newHostList,
+			newRollouts,
 			newGatewayMembers,
 			newFrontServer,
 			newArbiterClient,
@@ -96,6 +98,12 @@
 	return l
 }
 
+func newRollouts(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree, t discovery.Translator, arbiter *front.Server) *rollout.Controller {
+	r := rollout.New(c, b, tree, t, arbiter)
+	lc.Append(fx.StopHook(r.Close))
+	return r
+}
+
 func newGatewayMembers(lc fx.Lifecycle, c *common.Common, b *board.Board, d *discovery.Controller, l *discovery.HostList) *member.Controller {
 	transport := &member.HTTPTransport{Client: http2.New(c.Settings.Peers.LinkTimeout, nil), Key: c.Settings.Peers.Key}
 	m := member.NewController(c, b, transport, l, d)
@@ -117,6 +125,7 @@
 	Members   *member.Controller
 	Discovery *discovery.Controller
 	HostList  *discovery.HostList
+	Rollouts  *rollout.Controller
 	Arbiters  *front.Server
 	Gateway   *gateway.Server
 	Metrics   http.Handler `name:"metrics"`
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -138,6 +138,7 @@
 			r.tried = append(r.tried, name)
 			r.runs++
 			finish.Failed = ctx.Err() == nil
+			finish.Expired = errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 			ticket.Finish(finish)
 			return lost, err
 		}
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -55,7 +55,7 @@
 		return wire.Finish{}, err
 	}
 	if err != nil {
-		return wire.Finish{}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s: %v", target.Name, err)
+		return wire.Finish{Broken: true}, outcome.Lost(outcome.Unknown, outcome.TargetLost, "target %s: %v", target.Name, err)
 	}
 	defer response.Body.Close()
 	failed := response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
@@ -69,6 +69,9 @@
 		Completed:    err == nil && response.StatusCode < http.StatusMultipleChoices,
 		PromptTokens: r.demand.PromptTokens,
 	}
+	if measure.events == 0 {
+		finish.TotalUS = time.Since(sentAt).Microseconds()
+	}
 	if measure.events > 0 {
 		eventTokens := r.eventTokens()
 		finish.FirstTokenMS = measure.first.Sub(sentAt).Milliseconds()
@@ -79,6 +82,7 @@
 		return finish, err
 	}
 	if err != nil {
+		finish.Broken = true
 		return finish, outcome.Lost(outcome.Incomplete, outcome.TargetLost, "target %s: %v", target.Name, err)
 	}
 	s.logAnswer(r, target, response.StatusCode, sentAt, finish)
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -139,12 +139,24 @@
 		return w
 	}
 	w = newWorker(pool, s.quotas, seedOf(s.board.Members().Self.Run))
+	if g := s.common.Settings.Gateway; g != nil {
+		w.shard.LimitRollouts(shard.RolloutLimits{Share: g.Rollout.Share, Slack: g.Rollout.Slack})
+	}
 	w.configure(s.board)
 	s.workers[pool] = w
 	s.log.WithField("pool", pool).Info("Shard opened.")
 	return w
 }
 
+// Rollout returns how the rollout of a pool stands at this arbiter, and false if none is being
+// judged here.
+func (s *Server) Rollout(pool object.PoolName) (shard.RolloutState, bool) {
+	w := s.worker(pool)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.shard.Rollout(time.Now())
+}
+
 // Session is one front's connection to the shards of this process.
 type Session struct {
 	server *Server
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -81,13 +81,19 @@
 	// Rejected is true if the target has refused the request and not run it.
 	Rejected bool `json:"rejected,omitempty"`
 	// Failed is true if the target broke off, answered with an error of its own or not at all.
-	Failed       bool  `json:"failed,omitempty"`
+	Failed bool `json:"failed,omitempty"`
+	// Broken is true if no whole answer came, also not an error.
+	Broken bool `json:"broken,omitempty"`
+	// Expired is true if there was no whole answer when the time was up.
+	Expired      bool  `json:"expired,omitempty"`
 	Completed    bool  `json:"completed,omitempty"`
 	PromptTokens int   `json:"prompt-tokens,omitempty"`
 	OutputTokens int   `json:"output-tokens,omitempty"`
 	FirstTokenMS int64 `json:"first-token-ms,omitempty"`
 	// DecodeUS is the mean time between tokens in microseconds.
 	DecodeUS int64 `json:"decode-us,omitempty"`
+	// TotalUS is the time of a whole plain answer in microseconds.
+	TotalUS int64 `json:"total-us,omitempty"`
 }
 
 // Withdraw tells the arbiter that a waiting request is no longer wanted.
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -95,6 +95,7 @@
 		return s.Withdraw(now, f.ID)
 	}
 	t := q.target
+	s.noteVersion(q, t, f)
 	s.stopRunning(q)
 	s.forget(q)
 	switch {
--- a/internal/pool/shard/placement.go
+++ b/internal/pool/shard/placement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"redwinglock/internal/pool/rollout"
 	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
 )
@@ -14,7 +15,15 @@
 	if s.ready.len() == 0 {
 		return nil
 	}
-	least := s.leastLoaded(now, q)
+	if s.move != nil {
+		return s.placeByVersion(now, q)
+	}
+	return s.placeOn(now, q, rollout.OldVersion)
+}
+
+// placeOn picks among the targets of one side of a rollout; without one all are.
+func (s *Shard) placeOn(now time.Time, q *request, side rollout.Side) *target {
+	least := s.leastLoaded(now, q, side)
 	if least == nil {
 		return nil
 	}
@@ -22,7 +31,7 @@
 		saved := float64(i+1) / float64(len(q.Prefixes))
 		var best *target
 		for _, holder := range s.prefixes.holders(q.Prefixes[i]) {
-			if slices.Contains(q.Avoid, holder.name) || holder.tooSlow(now, q) || !s.inTime(now, q, holder) {
+			if !s.mayServe(holder, side) || slices.Contains(q.Avoid, holder.name) || holder.tooSlow(now, q) || !s.inTime(now, q, holder) {
 				continue
 			}
 			if holder.readyIndex != notQueued && (best == nil || holder.load() < best.load()) {
@@ -39,10 +48,10 @@
 // leastLoaded returns the least loaded target that the request may be sent to and that can
 // answer in time, else the one whose answer would begin first, or nil. One in the zone of
 // the front is preferred unless it is much more loaded.
-func (s *Shard) leastLoaded(now time.Time, q *request) *target {
+func (s *Shard) leastLoaded(now time.Time, q *request, side rollout.Side) *target {
 	var best, near, fastest *target
 	for _, t := range s.ready.all() {
-		if slices.Contains(q.Avoid, t.name) {
+		if !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
 			continue
 		}
 		if t.tooSlow(now, q) || !s.inTime(now, q, t) {
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -10,6 +10,7 @@
 
 	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/rollout"
 	"redwinglock/internal/state/object"
 )
 
@@ -51,6 +52,9 @@
 	// other hosts may be served by another one.
 	share   Share
 	demands []*demand
+	// move is the rollout that is under way, nil if there is none.
+	move          *move
+	rolloutLimits RolloutLimits
 	// totalSlots is the number of slots of the targets that take work.
 	totalSlots float64
 
@@ -108,6 +112,7 @@
 	s.runToEnd = view.RunToEnd
 	s.discovered = view.Discovered
 	s.configureTiers(snapshot)
+	s.configureRollout(now, snapshot)
 	s.configureTargets(view)
 	return s.step(now)
 }
@@ -144,9 +149,13 @@
 func (s *Shard) countSlots() {
 	s.totalSlots = 0
 	for _, t := range s.targets {
-		if !t.closed && !t.quiet {
-			s.totalSlots += t.limit
+		if t.closed || t.quiet {
+			continue
+		}
+		if s.move != nil && (s.move.sideOf(t) == rollout.NewVersion) != s.move.takesOver() {
+			continue // It serves few requests or none.
 		}
+		s.totalSlots += t.limit
 	}
 }
 
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -10,6 +10,7 @@
 func (s *Shard) step(now time.Time) []Decision {
 	if !now.Before(s.warmUntil) {
 		s.reopen(now)
+		s.stepRollout(now)
 		s.grantAll(now)
 	}
 	s.expire(now)
@@ -27,7 +28,7 @@
 			return
 		}
 		t := s.place(now, q)
-		if t == nil && len(q.Avoid) > 0 && s.ready.len() > 0 {
+		if t == nil && s.onlyAvoidedReady(q) {
 			s.refuse(now, q, outcome.NoTarget) // Only targets are free that it must avoid.
 			continue
 		}
@@ -44,12 +45,25 @@
 		q.tier.fixAccount(q.account)
 		s.countQuota(now, q)
 		s.demandOf(now, rank{class: q.tier.classPriority}).grants.add(now)
+		if s.move != nil && s.move.trial != nil {
+			s.move.trial.Grant(q.tier.class, s.move.sideOf(t))
+		}
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
 		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt)})
 	}
 }
 
+// onlyAvoidedReady reports whether a target is free that the request must avoid.
+func (s *Shard) onlyAvoidedReady(q *request) bool {
+	for _, name := range q.Avoid {
+		if t := s.targets[name]; t != nil && t.readyIndex != notQueued {
+			return true
+		}
+	}
+	return false
+}
+
 // next returns the waiting request that ranks first among those that may use a free slot,
 // or nil.
 func (s *Shard) next(now time.Time) *request {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -28,6 +28,8 @@
 	QuotaSlack   float64
 	// RepeatSlack is what may be sent once more beside the share of the requests.
 	RepeatSlack float64
+	// ExposeShare and ExposeSlack bound what a bad version may get of a rollout.
+	ExposeShare, ExposeSlack float64
 }
 
 // Spec says what a site consists of.
@@ -230,6 +232,8 @@
 		"{{bounds.quota_window_s}}", fmt.Sprint(s.spec.Bounds.QuotaWindow.Seconds()),
 		"{{bounds.quota_overage}}", fmt.Sprint(s.spec.Bounds.QuotaOverage),
 		"{{bounds.quota_slack}}", fmt.Sprint(s.spec.Bounds.QuotaSlack),
+		"{{bounds.expose_share}}", fmt.Sprint(s.spec.Bounds.ExposeShare),
+		"{{bounds.expose_slack}}", fmt.Sprint(s.spec.Bounds.ExposeSlack),
 		"{{bounds.retry_budget_slack}}", fmt.Sprint(s.spec.Bounds.RepeatSlack),
 	).Replace(s.template)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
--- a/internal/state/object/snapshot.go
+++ b/internal/state/object/snapshot.go
@@ -22,6 +22,7 @@
 	pools    map[PoolName]*PoolView
 	models   map[ModelName]*Model
 	routes   map[routeKey]*Route
+	rollouts map[PoolName]*Rollout
 }
 
 // routeKey is what a request is routed by.
--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -27,6 +27,8 @@
 	RepeatSlack float64 `yaml:"repeat-slack"`
 	// Quota says how far the quotas of accounts may be passed.
 	Quota Quota `yaml:"quota"`
+	// Rollout bounds what a bad version of a pool may get.
+	Rollout Rollout `yaml:"rollout"`
 	// StopServe is how long a stopping host serves callers that still know it. Default 4s.
 	StopServe time.Duration `yaml:"stop-serve"`
 }
@@ -41,7 +43,16 @@
 	Slack   float64 `yaml:"slack"`
 }
 
+// Rollout bounds the requests that a version which turns out to be bad may get.
+type Rollout struct {
+	// Share is the part of all requests of the pool while the rollout lasts. Default 0.1.
+	Share float64 `yaml:"share"`
+	// Slack is how many more it may get.
+	Slack float64 `yaml:"slack"`
+}
+
 func (g *Gateway) fillIn() {
+	setDefault(&g.Rollout.Share, 0.1)
 	setDefault(&g.StoreTimeout, time.Second)
 	setDefault(&g.AddressTTL, 2*time.Second)
 	setDefault(&g.MaxBodyBytes, 4<<20)
@@ -73,6 +84,12 @@
 	if g.Quota.Window < 0 || g.Quota.Overage < 0 || g.Quota.Slack < 0 {
 		c.fault("window, overage or slack is negative", "gateway", "quota")
 	}
+	if g.Rollout.Share < 0 || g.Rollout.Share > 1 {
+		c.fault("is not between 0 and 1", "gateway", "rollout", "share")
+	}
+	if g.Rollout.Slack < 0 {
+		c.fault("is negative", "gateway", "rollout", "slack")
+	}
 	if g.RepeatShare < 0 || g.RepeatShare > 1 {
 		c.fault("is not between 0 and 1", "gateway", "repeat-share")
 	}
