A planned stop counts the time for which the host was suspended

Cause: the stop waited by the steady clock, which stands still while a host is suspended, so a host that was suspended in the middle of its stop (4 s of serving, 3 s for what runs) was still there when the platform ended it after 8 s; after that the four other listeners were closed one after the other, 0.1 s each. Change: the stop goes by the clock since boot; the other listeners close at once.

--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -196,6 +196,7 @@
 // address for a while, then waits for the requests in flight.
 func (h *gatewayHost) stop(ctx context.Context) error {
 	h.log.WithField("in-flight", h.Gateway.Active()).Info("Stop began.")
+	clock := newStopClock(sinceBoot)
 	h.Board.SetStopping()
 	var leaving sync.WaitGroup
 	leaving.Go(func() {
@@ -205,20 +206,32 @@
 	})
 	var listErr error
 	leaving.Go(func() { listErr = h.HostList.Close() })
-	pause(ctx, h.Common.Settings.Gateway.StopServe)
+	serve := h.Common.Settings.Gateway.StopServe
+	clock.wait(ctx, serve)
+	limit, cancel := clock.bound(ctx, serve+h.Common.Settings.Stop.Limit)
+	defer cancel()
+	errs := []error{h.callers.shutdown(limit), h.Gateway.Close()}
 	leaving.Wait()
-	limit, cancel := context.WithTimeout(ctx, h.Common.Settings.Stop.Limit)
+	h.log.WithField("left-of-limit", clock.left(serve+h.Common.Settings.Stop.Limit).String()).Info("All requests have ended.")
+	errs = append(errs, listErr, h.closeOthers(ctx))
+	return errors.Join(errs...)
+}
+
+// closeOthers closes the listeners for peers and the platform, all at once.
+func (h *gatewayHost) closeOthers(ctx context.Context) error {
+	// The streams of peers do not end by themselves.
+	brief, cancel := context.WithTimeout(ctx, otherCloseTimeout)
 	defer cancel()
-	errs := []error{listErr, h.callers.shutdown(limit), h.Gateway.Close()}
-	h.log.Info("All requests have ended.")
-	for _, l := range h.others {
-		// The streams of peers do not end by themselves.
-		brief, cancelBrief := context.WithTimeout(ctx, otherCloseTimeout)
-		if err := l.shutdown(brief); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			errs = append(errs, err)
-		}
-		cancelBrief()
+	errs := make([]error, len(h.others))
+	var closing sync.WaitGroup
+	for n, l := range h.others {
+		closing.Go(func() {
+			if err := l.shutdown(brief); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+				errs[n] = err
+			}
+		})
 	}
+	closing.Wait()
 	return errors.Join(errs...)
 }
 
