--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -34,6 +35,7 @@
 	Faults int           `arg:"--faults" default:"14" help:"number of faults of a seed"`
 	Time   time.Duration `arg:"--time" default:"20s" help:"time in which faults begin"`
 	Failed bool          `arg:"--failed" help:"play the seeds that have failed before"`
+	Older  string        `arg:"--older" help:"directory of another build (target/redwinglock, deploy/settings.yaml): half of the hosts begin with it"`
 	Logs   string        `arg:"--logs" default:"soak-logs" help:"directory for the logs of failed seeds"`
 }
 
@@ -131,9 +133,12 @@
 	if args.Failed {
 		seeds = soak.FailedSeeds()
 	}
-	failed, err := soak.RunAll(os.Stdout, seeds, args.Jobs, soak.Options{
-		Settings: "deploy/settings.yaml", Hosts: args.Hosts, Faults: args.Faults, Lasting: args.Time, Logs: args.Logs,
-	})
+	options := soak.Options{Settings: "deploy/settings.yaml", Hosts: args.Hosts, Faults: args.Faults, Lasting: args.Time, Logs: args.Logs}
+	if args.Older != "" {
+		options.Older = filepath.Join(args.Older, "target", "redwinglock")
+		options.OlderSettings = filepath.Join(args.Older, "deploy", "settings.yaml")
+	}
+	failed, err := soak.RunAll(os.Stdout, seeds, args.Jobs, options)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -23,9 +23,11 @@
 	// Program is the built redwinglock, Settings the template of its settings.
 	Program  string
 	Settings string
-	Seed     uint64
-	Hosts    int
-	Faults   int
+	// Older is another build with its template, by which half of the hosts begin; see site.Spec.
+	Older, OlderSettings string
+	Seed                 uint64
+	Hosts                int
+	Faults               int
 	// Lasting is the time in which faults begin.
 	Lasting time.Duration
 	// Logs is where the logs of a run with broken promises are kept.
@@ -104,7 +106,7 @@
 	first := configuration(s.configVersion)
 	var err error
 	s.site, err = site.New(site.Spec{
-		Program: s.options.Program, Settings: s.options.Settings, Dir: dir, Hosts: s.options.Hosts, Config: first,
+		Program: s.options.Program, Settings: s.options.Settings, Older: s.options.Older, OlderSettings: s.options.OlderSettings, Dir: dir, Hosts: s.options.Hosts, Config: first,
 		Bounds: site.Bounds{QuotaWindow: quotaWindow, QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, RepeatSlack: repeatSlack},
 	})
 	if err != nil {
--- a/internal/control/discovery/hosts.go
+++ b/internal/control/discovery/hosts.go
@@ -39,6 +39,8 @@
 
 // hostList is the value of one item: the hosts of an availability zone.
 type hostList struct {
+	// Member is one of the hosts. Builds that kept an entry for each host read it as one.
+	board.Member
 	Hosts []board.Member `json:"hosts"`
 }
 
@@ -137,6 +139,9 @@
 		l.log.WithError(err).WithField("key", i.Key).Warn("List of hosts skipped.")
 		return nil
 	}
+	if list.Hosts == nil && list.Name != "" {
+		return []board.Member{listedHost(list.Member)} // The entry of a host of an earlier build.
+	}
 	return list.Hosts
 }
 
@@ -194,7 +199,7 @@
 	if len(want) == 0 {
 		t.Deletes = []string{l.key}
 	} else {
-		data, err := json.Marshal(hostList{Hosts: want})
+		data, err := json.Marshal(hostList{Member: want[0], Hosts: want})
 		if err != nil {
 			return fmt.Errorf("encode list of hosts: %w", err)
 		}
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -185,7 +185,7 @@
 	}
 	m.mu.Lock()
 	m.table.Receive(time.Now(), answer)
-	if !wantAll {
+	if !wantAll && answer.Digest != 0 {
 		near := m.table.distance(target) == 0
 		mustSync = m.sync.due(time.Now(), answer.Digest == m.table.Digest(), near)
 	}
--- a/internal/control/member/messages.go
+++ b/internal/control/member/messages.go
@@ -48,6 +48,9 @@
 	StoreAgeMS int64 `json:"store-age-ms,omitempty"`
 	// Updates are the latest changes of members that the sender still passes on.
 	Updates []Update `json:"updates,omitempty"`
+	// Rumours are the updates under the name by which builds without digests send and read
+	// them. Only members that have sent no digest yet get them.
+	Rumours []Update `json:"rumours,omitempty"`
 	// Digest is that of all live members as the sender knows them. Members whose digests
 	// differ for long exchange all that they know.
 	Digest uint32 `json:"digest,omitempty"`
@@ -61,6 +64,14 @@
 	Leaving *LeavingList `json:"leaving,omitempty"`
 }
 
+// updates returns the updates of a message of any build.
+func (h *Heartbeat) updates() []Update {
+	if len(h.Updates) > 0 {
+		return h.Updates
+	}
+	return h.Rumours
+}
+
 // knowledge returns what the sender knows.
 func (h *Heartbeat) knowledge() Knowledge {
 	return Knowledge{h.Revision, h.StoreRevision, time.Duration(h.StoreAgeMS) * time.Millisecond}
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -43,6 +43,8 @@
 	leavingVersion int64
 	// position is the place of the member on the ring.
 	position uint64
+	// sendsDigests tells members of this build and later ones from earlier ones.
+	sendsDigests bool
 	// uncounted members have been dead for too long to run on unseen.
 	uncounted bool
 }
@@ -144,6 +146,9 @@
 		}
 	}
 	h.Updates = append(h.Updates, t.freshUpdates(to)...)
+	if e := t.entries[to]; e == nil || !e.sendsDigests {
+		h.Rumours = h.Updates
+	}
 	h.LeavingVersion = t.leavingVersion
 	if e := t.entries[to]; e == nil || e.leavingVersion < t.leavingVersion {
 		h.Leaving = &LeavingList{t.leaving}
@@ -254,7 +259,7 @@
 	case e != nil && e.Incarnation != 0:
 		t.apply(now, Update{Member: e.Member, Status: status, Incarnation: h.Incarnation})
 	}
-	for _, u := range h.Updates {
+	for _, u := range h.updates() {
 		t.apply(now, u)
 	}
 	t.takeAll(now, h.All)
@@ -263,6 +268,7 @@
 		return false
 	}
 	e.knows = h.Knows
+	e.sendsDigests = h.Digest != 0
 	t.takeLeaving(e, h)
 	return true
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -37,6 +37,9 @@
 	// Program is the built redwinglock, Settings the template of its settings file.
 	Program  string
 	Settings string
+	// Older is another build of redwinglock and OlderSettings its template. Hosts with an odd
+	// number begin with it and run Program from their second start on. Empty: all run Program.
+	Older, OlderSettings string
 	// Dir is a directory for files of the site.
 	Dir     string
 	Hosts   int
@@ -81,8 +84,10 @@
 	Peers       *proxy.Proxy
 	FromCallers *proxy.Proxy
 
-	program  string
-	settings string
+	program string
+	// older is the program of the first process, empty if it is the same.
+	older, olderSettings string
+	settings             string
 
 	mu      sync.Mutex
 	process *process.Process
@@ -222,7 +227,7 @@
 	if err := errors.Join(errStore, errPeers, errCallers); err != nil {
 		return nil, err
 	}
-	text := strings.NewReplacer(
+	values := strings.NewReplacer(
 		"http://{{ip}}:{{internal_ports.0}}", "http://"+h.Peers.Address(),
 		"{{ip}}:{{internal_ports.0}}", listen(portPeers),
 		"{{node}}", h.Name, "{{zone}}", h.Zone, "{{ip}}", ip, "{{limits.cpu_share}}", "1", "{{limits.memory_mb}}", "512",
@@ -235,16 +240,38 @@
 		"{{bounds.expose_share}}", fmt.Sprint(s.spec.Bounds.ExposeShare),
 		"{{bounds.expose_slack}}", fmt.Sprint(s.spec.Bounds.ExposeSlack),
 		"{{bounds.retry_budget_slack}}", fmt.Sprint(s.spec.Bounds.RepeatSlack),
-	).Replace(s.template)
-	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+	)
+	if err := os.WriteFile(h.settings, []byte(values.Replace(s.template)), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
+	if s.spec.Older != "" && number%2 == 1 {
+		return h, h.beginOlder(s.spec, values)
+	}
 	return h, nil
 }
 
+// beginOlder makes the first process of a host one of the older build.
+func (h *Host) beginOlder(spec Spec, values *strings.Replacer) error {
+	template, err := os.ReadFile(spec.OlderSettings)
+	if err != nil {
+		return fmt.Errorf("read template of the older build: %w", err)
+	}
+	h.older = spec.Older
+	h.olderSettings = h.settings + ".older"
+	if err := os.WriteFile(h.olderSettings, []byte(values.Replace(string(template))), 0o600); err != nil {
+		return fmt.Errorf("write settings of the older build: %w", err)
+	}
+	return nil
+}
+
 // Start starts the process of a host.
 func (h *Host) Start() error {
-	p, err := process.Start(h.Name, h.program, "serve", "--settings", h.settings)
+	program, settings := h.program, h.settings
+	if h.older != "" {
+		program, settings = h.older, h.olderSettings
+		h.older = ""
+	}
+	p, err := process.Start(h.Name, program, "serve", "--settings", settings)
 	if err != nil {
 		return err
 	}
