A rollout ends half a second before its time, and no evidence is written just before a verdict

Cause: read in the code: the time of a trial began with its record, which comes after the order by as long as the order takes to the arbiter, so the verdict could come after the operator's time; a write of evidence just before the verdict changes the record, and the verdict then waits for its new revision. Tests: the rollouts of real hosts end in their time (TestRolloutIsCarriedOutByRealHosts), also before this change; no test shows the late record by itself.

--- a/internal/control/rollout/controller.go
+++ b/internal/control/rollout/controller.go
@@ -141,7 +141,7 @@
 	case rollout.RolledBack:
 		record.State = object.RolloutRolledBack
 	default:
-		if now.Sub(r.writtenAt[spec.Pool]) < keepInterval {
+		if now.Sub(r.writtenAt[spec.Pool]) < keepInterval || nearEnd(now, spec) {
 			return nil
 		}
 	}
@@ -154,6 +154,13 @@
 	return &record
 }
 
+// nearEnd reports whether a verdict is due soon. A write of what was seen could then change the
+// record just before the verdict, which would have to wait for the newer revision.
+func nearEnd(now time.Time, spec *object.Rollout) bool {
+	end := time.UnixMilli(spec.BegunMS).Add(time.Duration(spec.Duration))
+	return end.Sub(now) < keepInterval
+}
+
 // write replaces a record and tells the operator, unless the record has changed meanwhile.
 func (r *Controller) write(ctx context.Context, now time.Time, record *object.Rollout) error {
 	r.writtenAt[record.Pool] = now
--- a/internal/pool/shard/rollout.go
+++ b/internal/pool/shard/rollout.go
@@ -53,12 +53,16 @@
 	}
 	return rollout.Plan{
 		Begin:    now.Add(-now.Sub(begin)),
-		Duration: time.Duration(spec.Duration),
+		Duration: max(time.Duration(spec.Duration)-orderLag, 0),
 		Share:    s.rolloutLimits.Share,
 		Slack:    s.rolloutLimits.Slack * s.share.Slots,
 	}
 }
 
+// orderLag is the time within which an order has become a record. The operator counts from the
+// order, the trial from the record.
+const orderLag = 500 * time.Millisecond
+
 // readEvidence returns what another arbiter has seen, nil if that is not known.
 func readEvidence(spec *object.Rollout) *rollout.Evidence {
 	if len(spec.Evidence) == 0 {
