One branch for targets that have not run a request

The branches for full targets and for other targets at an address stood twice. No change of what happens; TestMisdirected..., TestTargetRetryAfter... and the tests of refusals pass.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -80,7 +80,7 @@
 // request are replaced.
 func (s *Server) attempt(ctx context.Context, caller *http.Request, r *request, a *answer) (attemptResult, error) {
 	ticket := s.arbiters.Register(s.registration(r, a.started))
-	rejections, moved := 0, 0
+	var away turnedAway
 	for {
 		name, err := s.arbiters.Wait(ctx, ticket)
 		if err != nil {
@@ -110,24 +110,13 @@
 				return answered, s.waitFailed(a, outcome.Refuse(outcome.DeadlinePassed, 0, "the time was up before a target was reached"))
 			}
 			ticket.Return(finish)
-		case errors.Is(err, errMoved):
+		case errors.Is(err, errMoved), errors.Is(err, errNotRun):
 			r.tried = append(r.tried, name)
-			moved++
-			s.common.CountRetry("target-moved")
+			s.common.CountRetry(away.note(err))
 			finish.Rejected = true
-			if moved >= maxMoved || !s.repeats.take(r.pool, time.Now()) {
+			if away.tooOften() || !s.repeats.take(r.pool, time.Now()) {
 				ticket.Finish(finish)
-				return answered, s.waitFailed(a, outcome.Refuse(outcome.NoTarget, rejectedRetryAfter, "other targets have the addresses of those that were asked"))
-			}
-			ticket.Return(finish)
-		case errors.Is(err, errNotRun):
-			r.tried = append(r.tried, name)
-			rejections++
-			s.common.CountRetry("target-rejected")
-			finish.Rejected = true
-			if rejections >= maxRejections || !s.repeats.take(r.pool, time.Now()) {
-				ticket.Finish(finish)
-				return answered, s.waitFailed(a, outcome.Refuse(outcome.TargetsFull, rejectedRetryAfter, "the targets are full"))
+				return answered, s.waitFailed(a, away.refusal(err))
 			}
 			ticket.Return(finish)
 		case errors.Is(err, errCallerGone):
@@ -145,6 +134,30 @@
 	}
 }
 
+// turnedAway counts the targets that have not run a request.
+type turnedAway struct{ full, moved int }
+
+// note counts one more and returns the reason of the retry.
+func (t *turnedAway) note(err error) string {
+	if errors.Is(err, errMoved) {
+		t.moved++
+		return "target-moved"
+	}
+	t.full++
+	return "target-rejected"
+}
+
+// tooOften reports whether no further target is asked.
+func (t *turnedAway) tooOften() bool { return t.full >= maxRejections || t.moved >= maxMoved }
+
+// refusal returns what the caller is told if the last target was not replaced. Nothing has run.
+func (t *turnedAway) refusal(last error) error {
+	if errors.Is(last, errMoved) {
+		return outcome.Refuse(outcome.NoTarget, rejectedRetryAfter, "other targets have the addresses of those that were asked")
+	}
+	return outcome.Refuse(outcome.TargetsFull, rejectedRetryAfter, "the targets are full")
+}
+
 // waitFailed returns the failure of an attempt that was not sent. If an attempt before it
 // was, the request may have run.
 func (s *Server) waitFailed(a *answer, err error) error {
