Grants that were lost on the way do not hide what a front used elsewhere since

What a front tells then was compared in total with what the arbiter had granted to it, so grants that had never reached the front stood for requests that it had sent since by the grants of others, at a time before the cut. Ruled out: grants after a pause (no host that granted was paused in that window), two arbiters with more than the whole share (the shares logged add up to one). Test: TestGrantsThatWereLostDoNotHideLaterUse fails before, passes after. TestNewArbitersKeepTheLimit and TestAccountInsideItsLimitIsServedByNewArbiters pass.

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -89,30 +89,38 @@
 	q.prune(now)
 	for _, account := range used.Accounts {
 		use := q.use(now, account.Account)
-		known := 0.0
+		var known []float64
 		if window := use.fronts[front]; window != nil {
-			known = window.Sum(now, UseSpan)
+			known = window.Recent(now, UseSpan)
 		}
 		use.learn(now, front, account.Costs, known, step)
 	}
 }
 
-// learn adds the part of a front's use that is not known yet. It counts as the latest part,
-// because a front goes elsewhere and comes back.
-func (u *quotaUse) learn(now time.Time, front wire.HostID, costs []float64, known float64, step time.Duration) {
-	missing := -known
-	for _, cost := range costs {
-		missing += cost
-	}
+// learn adds the part of a front's use that is not known yet, so that in no span up to now less
+// is counted than the front has used. What was granted to the front before and never reached it
+// does not stand for what it has used since elsewhere.
+func (u *quotaUse) learn(now time.Time, front wire.HostID, costs, known []float64, step time.Duration) {
+	used, counted := 0.0, 0.0
 	for age, cost := range costs {
-		if missing <= 0 {
-			return
+		used += cost
+		if missing := used - counted - sumOf(known, age+1); missing > 0 {
+			u.note(now.Add(-time.Duration(age)*step), front, missing)
+			counted += missing
 		}
-		u.note(now.Add(-time.Duration(age)*step), front, min(cost, missing))
-		missing -= cost
 	}
 }
 
+// sumOf adds the newest steps up to an age. A use is noted later by its front than by the arbiter
+// that granted it, so it may stand in the next step there.
+func sumOf(steps []float64, age int) float64 {
+	sum := 0.0
+	for _, cost := range steps[:min(age+1, len(steps))] {
+		sum += cost
+	}
+	return sum
+}
+
 // prune forgets fronts that have used nothing for long.
 func (q *Quotas) prune(now time.Time) {
 	for _, use := range q.uses {
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -363,3 +363,38 @@
 	}
 	require.LessOrEqual(t, refused, 3, "30 requests of an account that may send 100 at once")
 }
+
+// TestGrantsThatWereLostDoNotHideLaterUse replays an arbiter whose grants did not reach a front,
+// because the link was cut; the front used as much by the grants of another arbiter meanwhile
+// and comes back.
+func TestGrantsThatWereLostDoNotHideLaterUse(t *testing.T) {
+	const cost, steps = 700.0, 6
+	rows := []struct {
+		name string
+		// costs are what the front tells, the newest first.
+		costs []float64
+		// recent and all are what must be counted in the last second and in all.
+		recent, all float64
+	}{
+		{"lost, and used elsewhere since", []float64{0, cost, 0, 0, 0, 0, 0}, cost, 2 * cost},
+		{"received", []float64{0, 0, 0, 0, 0, 0, cost}, 0, cost},
+		{"received a step later", []float64{0, 0, 0, 0, 0, cost, 0}, 0, cost},
+		{"received, and used elsewhere since", []float64{0, cost, 0, 0, 0, 0, cost}, cost, 2 * cost},
+		{"lost, and nothing used", []float64{0, 0, 0, 0, 0, 0, 0}, 0, cost},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			q := NewQuotas()
+			q.Learn(now, "front", wire.Used{AgeMS: 60000, StepMS: UseStep.Milliseconds()})
+			q.grant(now, "a", "front", cost)
+			now = now.Add(steps * UseStep)
+			q.Learn(now, "front", wire.Used{
+				AgeMS: 60000, StepMS: UseStep.Milliseconds(), Accounts: []wire.AccountUsed{{Account: "a", Costs: row.costs}},
+			})
+			use := q.use(now, "a")
+			require.InDelta(t, row.recent, use.granted.Sum(now, time.Second), 0)
+			require.InDelta(t, row.all, use.granted.Sum(now, UseSpan), 0)
+		})
+	}
+}
