What a front tells of its use counts from the latest time that it may have had

Cause: a front tells its use by steps of 0.5 s, and the arbiter noted each step at its earliest time, so the use left the window of 8 s up to 0.5 s too soon. Test: TestUseThatIsToldCountsForItsWholeWindow fails before (used 450 ms, told 1.5 s after the begin), passes after.

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -99,13 +99,14 @@
 
 // learn adds the part of a front's use that is not known yet, so that in no span up to now less
 // is counted than the front has used. What was granted to the front before and never reached it
-// does not stand for what it has used since elsewhere.
+// does not stand for what it has used since elsewhere. The newest step may just have begun, so a
+// use counts from the latest time that it may have had.
 func (u *quotaUse) learn(now time.Time, front wire.HostID, costs, known []float64, step time.Duration) {
 	used, counted := 0.0, 0.0
 	for age, cost := range costs {
 		used += cost
 		if missing := used - counted - sumOf(known, age+1); missing > 0 {
-			u.note(now.Add(-time.Duration(age)*step), front, missing)
+			u.note(now.Add(-time.Duration(max(age-1, 0))*step), front, missing)
 			counted += missing
 		}
 	}
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -398,3 +398,27 @@
 		})
 	}
 }
+
+// TestUseThatIsToldCountsForItsWholeWindow: what a front tells is known by steps only, so an
+// arbiter must take the latest time that a use may have had.
+func TestUseThatIsToldCountsForItsWholeWindow(t *testing.T) {
+	const window, offsets = 8 * time.Second, 10
+	begin := time.Unix(1000, 0)
+	// The steps of the front and of the arbiter begin at any times, and the use is told at any.
+	for number := range offsets * offsets * offsets {
+		offset := func(divisor int) time.Duration {
+			return time.Duration(number/divisor%offsets) * UseStep / offsets
+		}
+		used := begin.Add(offset(1))
+		front := NewUseWindow(begin)
+		front.Add(used, 700)
+		told := used.Add(time.Second + offset(offsets))
+		q := NewQuotas()
+		q.use(begin.Add(-time.Minute+offset(offsets*offsets)), "a")
+		q.Learn(told, "front", wire.Used{
+			AgeMS: 60000, StepMS: UseStep.Milliseconds(), Accounts: []wire.AccountUsed{{Account: "a", Costs: front.Recent(told, UseSpan)}},
+		})
+		last := used.Add(window - time.Millisecond)
+		require.InDelta(t, 700, q.use(last, "a").granted.Sum(last, window), 0, "used %v, told %v after the begin", used.Sub(begin), told.Sub(begin))
+	}
+}
