--- a/internal/control/rollout/controller.go
+++ b/internal/control/rollout/controller.go
@@ -15,7 +15,7 @@
 	"redwinglock/internal/control/discovery"
 	"redwinglock/internal/peer/front"
 	"redwinglock/internal/platform/store"
-	"redwinglock/internal/pool/rollout"
+	"redwinglock/internal/pool/trial"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
 	"redwinglock/internal/state/object"
@@ -136,9 +136,9 @@
 		return nil
 	}
 	switch state.Verdict {
-	case rollout.Completed:
+	case trial.Completed:
 		record.State = object.RolloutCompleted
-	case rollout.RolledBack:
+	case trial.RolledBack:
 		record.State = object.RolloutRolledBack
 	default:
 		if now.Sub(r.writtenAt[spec.Pool]) < keepInterval || nearEnd(now, spec) {
--- a/internal/pool/shard/placement.go
+++ b/internal/pool/shard/placement.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"redwinglock/internal/pool/rollout"
+	"redwinglock/internal/pool/trial"
 	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
 )
@@ -18,11 +18,11 @@
 	if s.move != nil {
 		return s.placeByVersion(now, q)
 	}
-	return s.placeOn(now, q, rollout.OldVersion)
+	return s.placeOn(now, q, trial.OldVersion)
 }
 
 // placeOn picks among the targets of one side of a rollout; without one all are.
-func (s *Shard) placeOn(now time.Time, q *request, side rollout.Side) *target {
+func (s *Shard) placeOn(now time.Time, q *request, side trial.Side) *target {
 	least := s.leastLoaded(now, q, side)
 	if least == nil {
 		return nil
@@ -48,7 +48,7 @@
 // leastLoaded returns the least loaded target that the request may be sent to and that can
 // answer in time, else the one whose answer would begin first, or nil. One in the zone of
 // the front is preferred unless it is much more loaded.
-func (s *Shard) leastLoaded(now time.Time, q *request, side rollout.Side) *target {
+func (s *Shard) leastLoaded(now time.Time, q *request, side trial.Side) *target {
 	var best, near, fastest *target
 	for _, t := range s.ready.all() {
 		if !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
--- a/internal/pool/shard/rollout.go
+++ b/internal/pool/shard/rollout.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"redwinglock/internal/peer/wire"
-	"redwinglock/internal/pool/rollout"
+	"redwinglock/internal/pool/trial"
 	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
 )
@@ -25,7 +25,7 @@
 type move struct {
 	spec *object.Rollout
 	// trial is nil until the rollout has a record.
-	trial *rollout.Trial
+	trial *trial.Trial
 }
 
 // configureRollout takes the newest rollout of the pool.
@@ -40,18 +40,18 @@
 	}
 	s.move.spec = spec
 	if s.move.trial == nil && spec.State == object.RolloutRunning {
-		s.move.trial = rollout.NewTrial(now, s.plan(now, spec), readEvidence(spec))
+		s.move.trial = trial.New(now, s.plan(now, spec), readEvidence(spec))
 	}
 }
 
 // plan returns what was ordered. The begin is told by the time of day of another host, which
 // may be wrong by some seconds, but is not ahead of this host.
-func (s *Shard) plan(now time.Time, spec *object.Rollout) rollout.Plan {
+func (s *Shard) plan(now time.Time, spec *object.Rollout) trial.Plan {
 	begin := time.UnixMilli(spec.BegunMS)
 	if begin.After(now) {
 		begin = now
 	}
-	return rollout.Plan{
+	return trial.Plan{
 		Begin:    now.Add(-now.Sub(begin)),
 		Duration: max(time.Duration(spec.Duration)-orderLag, 0),
 		Share:    s.rolloutLimits.Share,
@@ -64,11 +64,11 @@
 const orderLag = 500 * time.Millisecond
 
 // readEvidence returns what another arbiter has seen, nil if that is not known.
-func readEvidence(spec *object.Rollout) *rollout.Evidence {
+func readEvidence(spec *object.Rollout) *trial.Evidence {
 	if len(spec.Evidence) == 0 {
 		return nil
 	}
-	e := &rollout.Evidence{}
+	e := &trial.Evidence{}
 	if err := json.Unmarshal(spec.Evidence, e); err != nil {
 		return nil // Written by a build that judges otherwise; this one begins anew.
 	}
@@ -76,17 +76,17 @@
 }
 
 // sideOf returns the side of a rollout on which a target is.
-func (m *move) sideOf(t *target) rollout.Side {
+func (m *move) sideOf(t *target) trial.Side {
 	if t.generation == m.spec.To {
-		return rollout.NewVersion
+		return trial.NewVersion
 	}
-	return rollout.OldVersion
+	return trial.OldVersion
 }
 
 // next returns the side to which the next request of a class goes.
-func (m *move) next(now time.Time, class object.TierName) rollout.Side {
+func (m *move) next(now time.Time, class object.TierName) trial.Side {
 	if m.trial == nil {
-		return rollout.OldVersion
+		return trial.OldVersion
 	}
 	return m.trial.Next(now, class)
 }
@@ -95,18 +95,18 @@
 func (m *move) takesOver() bool { return m.trial != nil && m.trial.Promoted() }
 
 // mayServe reports whether requests of a side may go to a target.
-func (s *Shard) mayServe(t *target, side rollout.Side) bool {
+func (s *Shard) mayServe(t *target, side trial.Side) bool {
 	return s.move == nil || s.move.sideOf(t) == side
 }
 
 // placeByVersion picks a target while a rollout is under way.
 func (s *Shard) placeByVersion(now time.Time, q *request) *target {
 	side := s.move.next(now, q.tier.class)
-	if side == rollout.NewVersion && !s.move.takesOver() {
+	if side == trial.NewVersion && !s.move.takesOver() {
 		if t := s.placeTrial(now, q); t != nil {
 			return t
 		}
-		side = rollout.OldVersion
+		side = trial.OldVersion
 	}
 	return s.placeOn(now, q, side)
 }
@@ -117,7 +117,7 @@
 	usual := s.usualLoad()
 	var best *target
 	for _, t := range s.ready.all() {
-		if s.move.sideOf(t) != rollout.NewVersion || slices.Contains(q.Avoid, t.name) {
+		if s.move.sideOf(t) != trial.NewVersion || slices.Contains(q.Avoid, t.name) {
 			continue
 		}
 		if best == nil || trialOrder(now, t, usual) < trialOrder(now, best, usual) {
@@ -131,7 +131,7 @@
 func (s *Shard) usualLoad() int {
 	running, targets := 0, 0
 	for _, t := range s.targets {
-		if !t.closed && s.move.sideOf(t) == rollout.OldVersion {
+		if !t.closed && s.move.sideOf(t) == trial.OldVersion {
 			running += t.inFlight
 			targets++
 		}
@@ -153,7 +153,7 @@
 	if s.move == nil || s.move.trial == nil || !f.Dispatched || f.Rejected || !(f.Completed || f.Failed || f.Expired) {
 		return
 	}
-	a := rollout.Answer{
+	a := trial.Answer{
 		Side: s.move.sideOf(t), Class: q.tier.class, Target: t.name,
 		Failed: f.Failed && !f.Broken, Broken: f.Broken, Expired: f.Expired,
 		Pace: time.Duration(f.TotalUS) * time.Microsecond,
@@ -172,7 +172,7 @@
 func (s *Shard) newTargets() int {
 	count := 0
 	for _, t := range s.targets {
-		if !t.closed && s.move.sideOf(t) == rollout.NewVersion {
+		if !t.closed && s.move.sideOf(t) == trial.NewVersion {
 			count++
 		}
 	}
@@ -180,19 +180,19 @@
 }
 
 // stepRollout moves a trial on.
-func (s *Shard) stepRollout(now time.Time) rollout.Verdict {
+func (s *Shard) stepRollout(now time.Time) trial.Verdict {
 	if s.move == nil || s.move.trial == nil {
-		return rollout.Undecided
+		return trial.Undecided
 	}
 	running, before, after := 0, 0.0, 0.0
 	for _, t := range s.targets {
 		side := s.move.sideOf(t)
-		if side == rollout.OldVersion {
+		if side == trial.OldVersion {
 			running += t.inFlight
 		}
 		switch {
 		case t.closed:
-		case side == rollout.OldVersion:
+		case side == trial.OldVersion:
 			before += t.limit
 		default:
 			after += t.limit
@@ -212,8 +212,8 @@
 // RolloutState is what a shard has come to in a rollout.
 type RolloutState struct {
 	Order    int64
-	Verdict  rollout.Verdict
-	Evidence rollout.Evidence
+	Verdict  trial.Verdict
+	Evidence trial.Evidence
 }
 
 // Rollout returns how the rollout of the pool stands at this arbiter, and false if none is
--- a/internal/pool/shard/rollout_test.go
+++ b/internal/pool/shard/rollout_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinglock/internal/peer/wire"
-	"redwinglock/internal/pool/rollout"
+	"redwinglock/internal/pool/trial"
 	"redwinglock/internal/state/object"
 )
 
@@ -70,10 +70,10 @@
 	require.Positive(t, seen["v2"])
 	require.LessOrEqual(t, seen["v2"], (seen["v1"]+seen["v2"])/10+1)
 	state, _ := b.shard.Rollout(b.now)
-	require.Equal(t, rollout.Undecided, state.Verdict)
+	require.Equal(t, trial.Undecided, state.Verdict)
 	b.serve(rolloutSpan*19/100, never)
 	state, _ = b.shard.Rollout(b.now)
-	require.Equal(t, rollout.Completed, state.Verdict)
+	require.Equal(t, trial.Completed, state.Verdict)
 	require.Zero(t, b.serve(time.Second, never)["v1"], "the record is not written yet")
 	b.configureRollout(object.RolloutCompleted, nil)
 	require.Zero(t, b.serve(time.Second, never)["v1"], "the old targets still say that they are ready")
@@ -90,7 +90,7 @@
 		return g == "v2"
 	})
 	state, _ := b.shard.Rollout(b.now)
-	require.Equal(t, rollout.RolledBack, state.Verdict)
+	require.Equal(t, trial.RolledBack, state.Verdict)
 	require.Less(t, bad, 50)
 	require.Zero(t, b.serve(time.Second, never)["v2"])
 	b.configureRollout(object.RolloutRolledBack, nil)
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -10,7 +10,7 @@
 
 	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
-	"redwinglock/internal/pool/rollout"
+	"redwinglock/internal/pool/trial"
 	"redwinglock/internal/state/object"
 )
 
@@ -152,7 +152,7 @@
 		if t.closed || t.quiet {
 			continue
 		}
-		if s.move != nil && (s.move.sideOf(t) == rollout.NewVersion) != s.move.takesOver() {
+		if s.move != nil && (s.move.sideOf(t) == trial.NewVersion) != s.move.takesOver() {
 			continue // It serves few requests or none.
 		}
 		s.totalSlots += t.limit
--- a/internal/pool/rollout/judge.go
+++ b/internal/pool/trial/judge.go
@@ -1,4 +1,4 @@
-package rollout
+package trial
 
 import (
 	"slices"
--- a/internal/pool/rollout/trial.go
+++ b/internal/pool/trial/trial.go
@@ -1,7 +1,7 @@
-// Package rollout decides how the requests of a pool move from targets of one version to those
+// Package trial decides how the requests of a pool move from targets of one version to those
 // of another: which share goes to the new version, whether it is worse than the old one, and
 // when it takes over. It does no I/O: requests, answers and the time go in.
-package rollout
+package trial
 
 import (
 	"math"
@@ -122,9 +122,9 @@
 	}
 }
 
-// NewTrial starts a trial, or goes on with one that another arbiter has begun. Evidence may be
+// New starts a trial, or goes on with one that another arbiter has begun. Evidence may be
 // nil.
-func NewTrial(now time.Time, p Plan, e *Evidence) *Trial {
+func New(now time.Time, p Plan, e *Evidence) *Trial {
 	t := &Trial{plan: p, seenAt: now, judge: newJudge(), classes: map[object.TierName]*granted{}}
 	if e != nil {
 		t.resume(e)
--- a/internal/pool/rollout/trial_test.go
+++ b/internal/pool/trial/trial_test.go
@@ -1,4 +1,4 @@
-package rollout
+package trial
 
 import (
 	"flag"
@@ -75,7 +75,7 @@
 	now := time.Unix(1000, 0)
 	begin := now
 	plan := Plan{Begin: begin, Duration: d.span, Share: exposeShare, Slack: exposeSlack}
-	trial := NewTrial(now, plan, nil)
+	trial := New(now, plan, nil)
 	var kept *Evidence
 	keptAt := now
 	rate := 0.0
@@ -86,7 +86,7 @@
 		now = now.Add(time.Duration(d.random.ExpFloat64() / rate * float64(time.Second)))
 		if d.arbiterLost > 0 && now.Sub(begin) > time.Duration(d.arbiterLost*float64(d.span)) {
 			d.arbiterLost = 0
-			trial = NewTrial(now, plan, kept)
+			trial = New(now, plan, kept)
 		}
 		if now.Sub(keptAt) > 2*time.Second {
 			seen := trial.Evidence(now)
@@ -261,7 +261,7 @@
 // TestRolloutOfWhichNothingIsKnownIsRolledBack: nobody asks for the service.
 func TestRolloutOfWhichNothingIsKnownIsRolledBack(t *testing.T) {
 	now := time.Unix(1000, 0)
-	trial := NewTrial(now, Plan{Begin: now, Duration: 12 * time.Second, Share: exposeShare, Slack: exposeSlack}, nil)
+	trial := New(now, Plan{Begin: now, Duration: 12 * time.Second, Share: exposeShare, Slack: exposeSlack}, nil)
 	require.Equal(t, Undecided, trial.Step(now.Add(11900*time.Millisecond), 0, true))
 	require.Equal(t, RolledBack, trial.Step(now.Add(12*time.Second), 0, true))
 }
