--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -73,6 +73,9 @@
 	// servingSince and servedAt are the first and the last time that this arbiter granted
 	// anything without a long pause.
 	servingSince, servedAt time.Time
+	// wholeAt is the last time at which this arbiter served all fronts, and partAt the last one
+	// at which it did not; partFrom is the value of wholeAt before the latter.
+	wholeAt, partAt, partFrom time.Time
 }
 
 // NewQuotas creates quotas of which nothing is known to be used.
@@ -165,7 +168,7 @@
 func (q *Quotas) take(now time.Time, quota *object.Quota, c charge) (*QuotaState, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.noteServing(now, time.Duration(quota.Window))
+	q.noteServing(now, time.Duration(quota.Window), c.share)
 	use := q.use(now, c.account)
 	if !windowed(quota) {
 		return use.takeFromBucket(now, quota, c)
@@ -241,26 +244,48 @@
 	use.note(now, front, cost)
 }
 
-// noteServing remembers since when this arbiter has granted without a long pause.
-func (q *Quotas) noteServing(now time.Time, window time.Duration) {
+// noteServing remembers since when this arbiter has granted without a long pause, and when it
+// served all fronts.
+func (q *Quotas) noteServing(now time.Time, window time.Duration, share float64) {
 	if now.Sub(q.servedAt) > window {
 		q.servingSince = now
+		q.wholeAt = now
 	}
 	q.servedAt = now
+	if share < 1 {
+		q.partFrom, q.partAt = q.wholeAt, now
+	} else {
+		q.wholeAt = now
+	}
 }
 
 // unknownPart returns which part of the use of the last window nobody remembers: that of
-// fronts that have started since, before this arbiter began to serve. It may have been all
-// that was allowed.
+// fronts that have started since, before this arbiter began to serve, and while some fronts were
+// served by others. It may have been all that was allowed.
 func (q *Quotas) unknownPart(now time.Time, window time.Duration) float64 {
-	unknown := 0.0
+	unknown := time.Duration(0)
 	for _, since := range q.counting {
+		begin := since
 		if q.servingSince.Before(since) {
-			since = q.servingSince
+			begin = q.servingSince
 		}
-		unknown += max((window - now.Sub(since)).Seconds(), 0)
+		unknown += max(window-now.Sub(begin), 0) + q.elsewhere(now, window, since)
+	}
+	return unknown.Seconds() / window.Seconds() / float64(max(len(q.counting), 1))
+}
+
+// elsewhere returns for how long of the last window a host whose front has started at a time may
+// have been served by another arbiter in its run before. Had all fronts been here when it started,
+// that run would have told.
+func (q *Quotas) elsewhere(now time.Time, window time.Duration, since time.Time) time.Duration {
+	if q.partAt.Before(since) {
+		return 0
+	}
+	from := q.partFrom
+	if oldest := now.Add(-window); from.Before(oldest) {
+		from = oldest
 	}
-	return unknown / window.Seconds() / float64(max(len(q.counting), 1))
+	return max(since.Sub(from), 0)
 }
 
 // release gives back what an admitted request was to use that did not run. counted says that
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -422,3 +422,46 @@
 		require.InDelta(t, 700, q.use(last, "a").granted.Sum(last, window), 0, "used %v, told %v after the begin", used.Sub(begin), told.Sub(begin))
 	}
 }
+
+// TestUseOfAFrontThatWasLostElsewhereIsReckonedWith: for three seconds a front is served by
+// another arbiter, with which its run is lost. The next run of the host knows nothing of it.
+func TestUseOfAFrontThatWasLostElsewhereIsReckonedWith(t *testing.T) {
+	const lost = 3 * time.Second
+	quota := &object.Quota{PerSecond: 1000, Burst: 1000, PlainTokens: 1, Window: object.Duration(8 * time.Second)}
+	limit := quota.PerSecond*8 + quota.Burst
+	rows := []struct {
+		name string
+		// share is that of this arbiter for the three seconds.
+		share float64
+		want  float64
+	}{
+		{"it was served here all the while", 1, 0},
+		{"it was served elsewhere", 0.75, limit / 4 * 3 / 8},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			q := NewQuotas()
+			for _, front := range []wire.HostID{"a", "b", "c", "d"} {
+				q.Learn(now, front, wire.Used{AgeMS: 60000, StepMS: UseStep.Milliseconds()})
+			}
+			q.servingSince, q.servedAt = now.Add(-time.Minute), now
+			ask := func(share, cost float64) *QuotaState {
+				state, _ := q.take(now, quota, charge{account: "x", cost: cost, share: share})
+				return state
+			}
+			require.Nil(t, ask(1, 0))
+			for until := now.Add(lost); now.Before(until); now = now.Add(10 * time.Millisecond) {
+				require.Nil(t, ask(row.share, 0))
+			}
+			q.Forget("d")
+			q.Learn(now, "d-again", wire.Used{StepMS: UseStep.Milliseconds()})
+			require.Nil(t, ask(row.share, 0))
+			state := ask(1, 2*limit)
+			require.NotNil(t, state)
+			require.InDelta(t, row.want, state.Used, limit/100)
+			now = now.Add(8 * time.Second)
+			require.InDelta(t, 0, ask(1, 2*limit).Used, 0, "a window later nothing is unknown")
+		})
+	}
+}
