Arbiter log: the state of a pool counts grants and refusals by class, and is not crowded out

Change: at most 100 lines a second about refusals of a pool; its state counts all of them by class and reason, those that come again, grants, late ones, and the slots that are kept from each class. A line also cost the sums over all targets. Ruled out: a higher bound on all lines, since writing them costs the arbiter processor time when it has least.

--- /dev/null
+++ b/internal/peer/front/log.go
@@ -0,0 +1,68 @@
+package front
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"redwinglock/internal/pool/shard"
+	"redwinglock/internal/state/object"
+	"redwinglock/internal/state/outcome"
+)
+
+// summaryInterval is the time between two log lines about a pool that is in use.
+const summaryInterval = time.Second
+
+// logSummary writes the state of a pool that is in use, once in a while.
+func (w *worker) logSummary(now time.Time, s *Server, pool object.PoolName) {
+	if now.Sub(w.loggedAt) < summaryInterval {
+		return
+	}
+	w.loggedAt = now
+	sum := w.shard.Summary(now)
+	s.log.WithFields(logrus.Fields{
+		"pool": pool, "targets": sum.Targets, "open": sum.Open, "ready": sum.Ready, "failed": sum.Failed,
+		"slots": sum.Slots, "slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota,
+		"waiting": sum.Waiting, "late": sum.Late, "running": sum.Running, "kept": sum.Kept,
+	}).WithFields(countFields(w.shard.TakeCounts())).Info("Pool state.")
+}
+
+// refusalCounts are numbers of refusals by class and reason.
+type refusalCounts map[object.TierName]map[outcome.Reason]int
+
+// countFields puts the counts of classes into fields of one log line.
+func countFields(counts map[object.TierName]*shard.Counts) logrus.Fields {
+	granted, grantedLate, refusedAgain := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
+	refused := refusalCounts{}
+	for class, c := range counts {
+		granted[class] = c.Granted
+		grantedLate[class] = c.GrantedLate
+		refused[class] = c.Refused
+		refusedAgain[class] = c.RefusedAgain
+	}
+	return logrus.Fields{"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain}
+}
+
+// refusalsPerSecond bounds the log lines about refusals of one pool. The line about its state
+// counts all of them.
+const refusalsPerSecond = 100
+
+// logRefusal writes what the decision rested on.
+func (w *worker) logRefusal(now time.Time, d shard.Refuse) {
+	if w.sessions[d.ID].session == nil || !w.refusals.Allow(now) {
+		return
+	}
+	sum := w.shard.Summary(now)
+	log := w.sessions[d.ID].session.server.log
+	if d.Quota != nil {
+		log = log.WithFields(logrus.Fields{
+			"account": d.Quota.Account, "quota-cost": d.Quota.Cost, "quota-used": d.Quota.Used, "quota-limit": d.Quota.Limit,
+			"class-used": d.Quota.ClassUsed, "class-limit": d.Quota.ClassLimit,
+		})
+	}
+	log.WithFields(logrus.Fields{
+		"request": d.ID, "tier": d.Tier, "class": d.Class, "reason": d.Reason, "retry-after": d.RetryAfter.String(),
+		"waited-ms": d.Waited.Milliseconds(), "late": d.Late, "may-return": d.MayReturn, "ready": sum.Ready, "failed": sum.Failed, "slots": sum.Slots,
+		"slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota, "waiting": sum.Waiting, "running": sum.Running,
+	}).Info("Request refused.")
+}
--- /dev/null
+++ b/internal/peer/front/log_test.go
@@ -0,0 +1,33 @@
+package front
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/shard"
+	"redwinglock/internal/state/outcome"
+)
+
+// TestFloodOfRefusalsLeavesTheStateOfThePoolInTheLog replays a flood that is refused: the lines
+// about it must not crowd out the one that counts them.
+func TestFloodOfRefusalsLeavesTheStateOfThePoolInTheLog(t *testing.T) {
+	logger, lines := logtest.NewNullLogger()
+	s := &Server{log: logrus.NewEntry(logger)}
+	w := newWorker("pool", shard.NewQuotas(), 0)
+	session := &Session{server: s, box: wire.NewOutbox[wire.Down]()}
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		id := wire.RequestID(fmt.Sprint(i))
+		w.sessions[id] = registered{session: session}
+		w.carryOut(now, w.shard.Register(now, wire.Register{ID: id, Class: "layout", Phase: wire.Waiting}))
+	}
+	w.logSummary(now, s, "pool")
+	require.Len(t, lines.AllEntries(), refusalsPerSecond+1)
+	require.Equal(t, map[outcome.Reason]int{outcome.NoTarget: 1000}, lines.LastEntry().Data["refused"].(refusalCounts)["layout"])
+}
--- /dev/null
+++ b/internal/pool/shard/counts_test.go
@@ -0,0 +1,38 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/outcome"
+)
+
+func TestCountsTellWhatBecameOfEachClass(t *testing.T) {
+	b := newDiscoveredBench(t, 1, 1)
+	running, _ := b.ask("first", nil)
+	b.ask("third", func(r *wire.Register) { r.MaxWaitMS = 100; r.MayReturn = true })
+	b.ask("third", func(r *wire.Register) { r.MaxWaitMS = 100 })
+	b.ask("first", func(r *wire.Register) { r.ObjectiveMS = 50; r.MaxWaitMS = 1000 })
+	b.advance(200 * time.Millisecond)
+	b.finish(running)
+
+	counts := b.shard.TakeCounts()
+	require.Equal(t, &Counts{Granted: 2, GrantedLate: 1, Refused: map[outcome.Reason]int{}}, counts["first"])
+	require.Equal(t, &Counts{Refused: map[outcome.Reason]int{outcome.QueueTimeout: 2}, RefusedAgain: 1}, counts["third"])
+	require.Empty(t, b.shard.TakeCounts(), "each count is reported once")
+}
+
+func TestSummaryTellsWhatIsKeptFromEachClass(t *testing.T) {
+	b := newDiscoveredBench(t, 10, 10)
+	for range 30 {
+		b.ask("first", nil)
+	}
+	b.advance(2 * time.Second)
+	b.ask("third", nil)
+	sum := b.shard.Summary(b.now)
+	require.Equal(t, 0, sum.Kept["first"])
+	require.Equal(t, 34, sum.Kept["third"], "1.15 times 30")
+}
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -33,6 +33,8 @@
 	// for its objective.
 	Waited time.Duration
 	Late   bool
+	// MayReturn tells whether the caller has the time to come back.
+	MayReturn bool
 	// Quota is set if the account has used up its quota.
 	Quota *QuotaState
 }
--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// needAbove returns how many slots are needed by requests that rank above the given ones and
+// that these would block.
+func (s *Shard) needAbove(now time.Time, own rank) float64 {
+	holding := s.demandOf(now, rank{class: own.class}).holding
+	need := 0.0
+	for _, d := range s.demands {
+		if d.rank.above(own) && s.demandOf(now, rank{class: d.rank.class}).blockedBy(holding) {
+			need += d.slots
+		}
+	}
+	return need
+}
+
 // reserved reports whether the free slots are kept for requests that rank above those of the
 // queue: together with all that rank no higher, it uses up what is left beside their need.
 // This holds for all accounts, because work of the least urgent class can hold a slot many
@@ -136,13 +149,7 @@
 	}
 	budget := s.totalSlots * s.share.Slots
 	own := tier.rank()
-	holding := s.demandOf(now, rank{class: own.class}).holding
-	need := 0.0
-	for _, d := range s.demands {
-		if d.rank.above(own) && s.demandOf(now, rank{class: d.rank.class}).blockedBy(holding) {
-			need += d.slots
-		}
-	}
+	need := s.needAbove(now, own)
 	if need == 0 {
 		return false
 	}
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -58,6 +58,9 @@
 	// totalSlots is the number of slots of the targets that take work.
 	totalSlots float64
 
+	// counts is what became of requests by class since the last report.
+	counts map[object.TierName]*Counts
+
 	// warmUntil holds back grants while fronts register again after a change of arbiter.
 	warmUntil time.Time
 	decisions []Decision
@@ -77,6 +80,7 @@
 		targets:  map[object.TargetName]*target{},
 		prefixes: newPrefixMap(),
 		share:    Share{1, 1},
+		counts:   map[object.TierName]*Counts{},
 	}
 }
 
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -44,6 +44,7 @@
 		q.account.charge(q.cost)
 		q.tier.fixAccount(q.account)
 		s.countQuota(now, q)
+		s.countGrant(q)
 		s.demandOf(now, rank{class: q.tier.classPriority}).grants.add(now)
 		if s.move != nil && s.move.trial != nil {
 			s.move.trial.Grant(q.tier.class, s.move.sideOf(t))
@@ -123,5 +124,9 @@
 	s.dequeue(q)
 	s.refundQuota(now, q)
 	s.forget(q)
-	s.decisions = append(s.decisions, Refuse{ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: reason, RetryAfter: retryAfter, Waited: now.Sub(q.queuedAt), Late: q.tier.late})
+	s.countRefusal(q, reason)
+	s.decisions = append(s.decisions, Refuse{
+		ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: reason, RetryAfter: retryAfter,
+		Waited: now.Sub(q.queuedAt), Late: q.tier.late, MayReturn: q.MayReturn,
+	})
 }
--- a/internal/pool/shard/summary.go
+++ b/internal/pool/shard/summary.go
@@ -1,5 +1,7 @@
 package shard
 
+import "time"
+
 // Waiting returns the number of waiting requests.
 func (s *Shard) Waiting() int { return s.waiting }
 
@@ -11,15 +13,19 @@
 	// Slots is the number of slots of open targets and Share this arbiter's part of them.
 	Slots float64
 	Share Share
-	// Waiting and Running count requests by class.
-	Waiting, Running map[string]int
+	// Waiting and Running count requests by class, and Late those that wait and are out of
+	// time for their objective.
+	Waiting, Late, Running map[string]int
+	// Kept is how many slots are kept from each class for more urgent ones.
+	Kept map[string]int
 }
 
 // Summary returns the state of the pool.
-func (s *Shard) Summary() Summary {
+func (s *Shard) Summary(now time.Time) Summary {
 	sum := Summary{
 		Targets: len(s.targets), Ready: s.ready.len(), Failed: len(s.failed),
-		Slots: s.totalSlots, Share: s.share, Waiting: map[string]int{}, Running: map[string]int{},
+		Slots: s.totalSlots, Share: s.share,
+		Waiting: map[string]int{}, Late: map[string]int{}, Running: map[string]int{}, Kept: map[string]int{},
 	}
 	for _, t := range s.targets {
 		if !t.closed {
@@ -29,6 +35,11 @@
 	for _, t := range s.tiers {
 		sum.Waiting[string(t.class)] += t.waiting
 		sum.Running[string(t.class)] += len(t.running)
+		if t.late {
+			sum.Late[string(t.class)] += t.waiting
+			continue
+		}
+		sum.Kept[string(t.class)] = int(s.needAbove(now, t.rank()) * reserveMargin)
 	}
 	return sum
 }
