--- a/internal/bench/decisions/engine.go
+++ b/internal/bench/decisions/engine.go
@@ -31,6 +31,7 @@
 	prefix   int // Identifies the shared leading half of the prompt.
 	arrived  time.Duration
 	asked    time.Duration // When it came, or came back after a refusal.
+	until    time.Duration // When its caller stops waiting; of the sheets only.
 	returned bool
 	deadline time.Duration // For the first token, after the arrival.
 
--- a/internal/bench/decisions/sheets_test.go
+++ b/internal/bench/decisions/sheets_test.go
@@ -9,7 +9,8 @@
 )
 
 func TestWorthOfAnAnswerGoesByWhenItBegins(t *testing.T) {
-	k := sheetKinds[0] // Begins in time within 0.5 s, is left after 2 s, and must end within 6 s.
+	sh := sheets[0]
+	k := sh.kinds[0] // Begins in time within 0.5 s, is left after 2 s, and must end within 6 s.
 	for _, test := range []struct {
 		name                        string
 		asked, firstToken, finished time.Duration
@@ -23,8 +24,8 @@
 		{"not answered", 0, 0, 0, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			j := &job{kind: k, asked: test.asked, firstToken: test.firstToken, finished: test.finished}
-			require.InDelta(t, test.want, j.earned(), 0)
+			j := &job{kind: k, asked: test.asked, firstToken: test.firstToken, finished: test.finished, until: k.deadline}
+			require.InDelta(t, test.want, sh.earned(j), 0)
 		})
 	}
 }
@@ -39,12 +40,17 @@
 	require.Equal(t, 10, drawSize(random, 1000, 0, 10))
 }
 
-// TestUrgentWorkEarnsItsWorthAtTheWorstLoadOfTheSheets plays one seed of the load.
-func TestUrgentWorkEarnsItsWorthAtTheWorstLoadOfTheSheets(t *testing.T) {
-	shares, err := sheetShares("redwinglock", 1)
-	require.NoError(t, err)
-	require.GreaterOrEqual(t, shares["first"], 0.85)
-	others, err := sheetShares("first come", 1)
-	require.NoError(t, err)
-	require.Greater(t, shares[""], others[""])
+// TestEachKindEarnsItsPartAtTheWorstLoadOfTheSheets plays one seed of each load.
+func TestEachKindEarnsItsPartAtTheWorstLoadOfTheSheets(t *testing.T) {
+	for _, sh := range sheets {
+		t.Run(sh.name, func(t *testing.T) {
+			shares, err := sh.shares("redwinglock", 1)
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, shares["first"], 0.85)
+			require.GreaterOrEqual(t, shares["third"], sh.floor)
+			others, err := sh.shares("first come", 1)
+			require.NoError(t, err)
+			require.Greater(t, shares[""], others[""])
+		})
+	}
 }
