A grant that is used late is given back

Change: a ticket whose grant is older than the link time-out at the dispatch gives it back, as one that comes late, and is charged and counted anew. Once; a slow host is not kept waiting for ever. Test: TestGrantThatIsUsedLateIsGivenBack sent after a pause of three seconds before (the field it sets did not exist; the rows fail without the check).

--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -33,9 +33,12 @@
 	deadline     time.Time
 	target       object.TargetName
 	link         link
-	// quotaCost is what the request will use of its quota, 0 once it was granted.
-	quotaCost float64
-	// sentBack is set once a grant that came too late was given back.
+	// cost is what the request uses of its quota, and quotaCost what its next grant will count, 0
+	// once it was granted.
+	cost, quotaCost float64
+	// grantedAt is when this host got the latest grant.
+	grantedAt time.Time
+	// sentBack is set once a grant was given back that came or was used too late.
 	sentBack bool
 
 	decision chan wire.Down // Holds the grant or refusal.
@@ -47,6 +50,7 @@
 		client:       c,
 		id:           r.ID,
 		registration: r,
+		cost:         r.QuotaCost,
 		quotaCost:    r.QuotaCost,
 		createdAt:    now,
 		decision:     make(chan wire.Down, 1),
@@ -65,13 +69,22 @@
 func (t *Ticket) Preempted() <-chan struct{} { return t.preempt }
 
 // Dispatch moves the ticket from granted to dispatched. It returns false if the grant
-// is no longer valid; then nothing may be sent to the target.
+// is no longer valid; then nothing may be sent to the target. One that was granted long ago, as on
+// a host that was paused since, is given back: its quota counts in a window that has passed.
 func (t *Ticket) Dispatch() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.phase != granted {
 		return false
 	}
+	if !t.sentBack && elapsed(t.grantedAt, time.Now()) > t.client.common.Settings.Peers.LinkTimeout {
+		t.phase = waiting
+		t.target = ""
+		t.quotaCost = t.cost
+		t.registration.QuotaCost = t.cost
+		t.sendBack()
+		return false
+	}
 	t.phase = dispatched
 	return true
 }
@@ -120,6 +133,7 @@
 		return false
 	}
 	t.phase = granted
+	t.grantedAt = time.Now()
 	t.target = g.Target
 	t.client.usage.note(t.registration.Account, t.quotaCost)
 	t.quotaCost = 0 // A request counts once, however often it is granted.
@@ -127,11 +141,14 @@
 	return true
 }
 
-// grantAge returns how long a grant and the registration before it were on their way. A host
-// that was suspended sees it by the time of day only.
+// grantAge returns how long a grant and the registration before it were on their way.
 func (t *Ticket) grantAge(now time.Time, g *wire.Grant) time.Duration {
-	elapsed := max(now.Sub(t.createdAt), now.Round(0).Sub(t.createdAt.Round(0)))
-	return elapsed - time.Duration(g.WaitedMS)*time.Millisecond
+	return elapsed(t.createdAt, now) - time.Duration(g.WaitedMS)*time.Millisecond
+}
+
+// elapsed returns the time since then. A host that was suspended sees it by the time of day only.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
 }
 
 // sendBack gives a grant back and registers the request again, once. It needs the lock.
--- a/internal/peer/arbiter/ticket_test.go
+++ b/internal/peer/arbiter/ticket_test.go
@@ -346,3 +346,51 @@
 		})
 	}
 }
+
+// TestGrantThatIsUsedLateIsGivenBack pauses a front between a grant and the dispatch. Sent then, the
+// request would count in a window in which its quota was given to others.
+func TestGrantThatIsUsedLateIsGivenBack(t *testing.T) {
+	rows := []struct {
+		name    string
+		pause   time.Duration
+		requeue bool // Its first target refuses the request.
+		used    bool
+	}{
+		{"at once", time.Millisecond, false, true},
+		{"after a pause of the front", 3 * time.Second, false, false},
+		{"after a refusal and a pause", 3 * time.Second, true, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, ticket, l := newTestTicket()
+				ticket.registration.Account = "a"
+				ticket.quotaCost, ticket.cost, ticket.registration.QuotaCost = 5, 5, 5
+				grantAndTake := func() bool {
+					used := ticket.grant(l, &wire.Grant{ID: "r-1", Target: "engine-1", Attempt: ticket.registration.Attempt})
+					<-ticket.decision
+					return used
+				}
+				require.True(t, grantAndTake())
+				if row.requeue {
+					require.True(t, ticket.Dispatch())
+					ticket.Return(wire.Finish{Rejected: true})
+					require.True(t, grantAndTake())
+				}
+				time.Sleep(row.pause)
+				require.Equal(t, row.used, ticket.Dispatch())
+				if row.used {
+					return
+				}
+				again := l.last().Register
+				require.Equal(t, wire.Waiting, again.Phase)
+				require.InDelta(t, 5, again.QuotaCost, 0, "the next grant counts")
+				require.False(t, l.sent[len(l.sent)-2].Finish.Dispatched, "the slot is given back")
+				require.True(t, grantAndTake())
+				require.InDelta(t, 5, c.usage.accounts["a"].Sum(time.Now(), time.Second), 0, "the use counts from now")
+				time.Sleep(row.pause)
+				require.True(t, ticket.Dispatch(), "a slow host is not kept waiting for ever")
+			})
+		})
+	}
+}
