A stopping host takes no request that may outlast it

Cause: for four seconds a stopping host takes what comes, and ends three seconds later whatever runs. A stream may last 15 s. Ruled out: a longer stop, since the platform ends the process after eight seconds; refusing from the signal on, since callers that know the address come for seconds and each refusal costs them their one return. Change: from 2.8 s on (gateway.stop-serve-long) only requests are taken whose deadline lies before the end of the stop; the others get 503 host-stopping with a hint of 200 ms. Test: TestStoppingHostTakesNoRequestThatMayOutlastIt (took all before).

--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -206,13 +206,16 @@
 	})
 	var listErr error
 	leaving.Go(func() { listErr = h.HostList.Close() })
-	serve := h.Common.Settings.Gateway.StopServe
-	clock.wait(ctx, serve)
-	limit, cancel := clock.bound(ctx, serve+h.Common.Settings.Stop.Limit)
+	settings := h.Common.Settings
+	whole := settings.Gateway.StopServe + settings.Stop.Limit
+	clock.wait(ctx, settings.Gateway.StopServeLong)
+	h.Gateway.CloseToLong(time.Now().Add(clock.left(whole)))
+	clock.wait(ctx, settings.Gateway.StopServe)
+	limit, cancel := clock.bound(ctx, whole)
 	defer cancel()
 	errs := []error{h.callers.shutdown(limit), h.Gateway.Close()}
 	leaving.Wait()
-	h.log.WithField("left-of-limit", clock.left(serve+h.Common.Settings.Stop.Limit).String()).Info("All requests have ended.")
+	h.log.WithField("left-of-limit", clock.left(whole).String()).Info("All requests have ended.")
 	errs = append(errs, listErr, h.closeOthers(ctx))
 	return errors.Join(errs...)
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -53,6 +53,8 @@
 	run    wire.HostID
 	nextID atomic.Uint64
 	closed atomic.Bool
+	// endsAt is when this host ends, once it takes only requests that end before.
+	endsAt atomic.Pointer[time.Time]
 	active sync.WaitGroup
 	count  atomic.Int64
 }
@@ -81,6 +83,15 @@
 	return router
 }
 
+// CloseToLong refuses requests that arrive from now on and may last until this host ends.
+func (s *Server) CloseToLong(endsAt time.Time) { s.endsAt.Store(&endsAt) }
+
+// outlasts reports whether a request may still run when this host ends.
+func (s *Server) outlasts(r *request) bool {
+	endsAt := s.endsAt.Load()
+	return endsAt != nil && !r.deadline.Before(*endsAt)
+}
+
 // CloseToNew refuses requests that arrive from now on.
 func (s *Server) CloseToNew() { s.closed.Store(true) }
 
@@ -169,6 +180,9 @@
 	r.line = c.Request.Method + " " + c.Request.RequestURI
 	r.pool = r.choosePool()
 	r.setDeadline()
+	if s.outlasts(r) {
+		return outcome.Refuse(outcome.HostStopping, stoppingRetryAfter, "this host is stopping and may end before the request does")
+	}
 	return s.readBody(c, r)
 }
 
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -159,6 +160,21 @@
 	require.Equal(t, http.StatusServiceUnavailable, s.send("GET", "/read/x", "").status)
 }
 
+// TestStoppingHostTakesNoRequestThatMayOutlastIt replays what was cut on a hunted day: a long
+// stream that came in the last second in which a stopping host serves callers.
+func TestStoppingHostTakesNoRequestThatMayOutlastIt(t *testing.T) {
+	s := newSite(t, answerWith(http.StatusOK, "served"))
+	s.board.SetStopping()
+	require.Equal(t, "served", s.send("GET", "/read/x", "", "Left-Ms", "9000").body)
+	s.server.CloseToLong(time.Now().Add(4 * time.Second))
+	require.Equal(t, "served", s.send("GET", "/read/x", "", "Left-Ms", "2000").body)
+	refused := s.send("GET", "/read/x", "", "Left-Ms", "9000")
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Contains(t, refused.body, "host-stopping")
+	require.Equal(t, "0.200", refused.header.Get("Retry-After"))
+	require.Equal(t, []int{2}, s.runs())
+}
+
 func TestReadinessAndDirectory(t *testing.T) {
 	s := newSite(t)
 	ask := func(handler http.Handler, path string) (int, string) {
--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -31,6 +31,9 @@
 	Rollout Rollout `yaml:"rollout"`
 	// StopServe is how long a stopping host serves callers that still know it. Default 4s.
 	StopServe time.Duration `yaml:"stop-serve"`
+	// StopServeLong is how long it takes requests that may last longer than its stop, at most
+	// StopServe. Default 2.8s, or StopServe if that is shorter.
+	StopServeLong time.Duration `yaml:"stop-serve-long"`
 }
 
 // Quota says how far the quotas of accounts may be passed in a span of time.
@@ -59,6 +62,7 @@
 	setDefault(&g.RepeatShare, 0.1)
 	setDefault(&g.RepeatSlack, 50)
 	setDefault(&g.StopServe, 4*time.Second)
+	setDefault(&g.StopServeLong, min(2800*time.Millisecond, g.StopServe))
 }
 
 func (c *checker) checkGateway(g *Gateway) {
@@ -78,6 +82,9 @@
 	if g.StopServe <= 0 {
 		c.fault("is too short", "gateway", "stop-serve")
 	}
+	if g.StopServeLong <= 0 || g.StopServeLong > g.StopServe {
+		c.fault("is too short, or longer than stop-serve", "gateway", "stop-serve-long")
+	}
 	if g.MaxBodyBytes < 0 {
 		c.fault("is negative", "gateway", "max-body-bytes")
 	}
