--- a/internal/peer/front/log_test.go
+++ b/internal/peer/front/log_test.go
@@ -28,6 +28,6 @@
 		w.carryOut(now, w.shard.Register(now, wire.Register{ID: id, Class: "layout", Phase: wire.Waiting}))
 	}
 	w.logSummary(now, s, "pool")
-	require.Len(t, lines.AllEntries(), refusalsPerSecond+1)
+	require.Equal(t, refusalsPerSecond+1, len(lines.AllEntries()))
 	require.Equal(t, map[outcome.Reason]int{outcome.NoTarget: 1000}, lines.LastEntry().Data["refused"].(refusalCounts)["layout"])
 }
