A stopping host serves plain calls to the end of its service, and refuses long streams only

The rule is narrowed to streams, of which the cut one was; the check of the process test stands as it was.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -53,7 +53,7 @@
 	run    wire.HostID
 	nextID atomic.Uint64
 	closed atomic.Bool
-	// endsAt is when this host ends, once it takes only requests that end before.
+	// endsAt is when this host ends, once it takes only streams that end before.
 	endsAt atomic.Pointer[time.Time]
 	active sync.WaitGroup
 	count  atomic.Int64
@@ -83,13 +83,14 @@
 	return router
 }
 
-// CloseToLong refuses requests that arrive from now on and may last until this host ends.
+// CloseToLong refuses streams that arrive from now on and may last until this host ends. Plain
+// calls are served: they seldom use up their time.
 func (s *Server) CloseToLong(endsAt time.Time) { s.endsAt.Store(&endsAt) }
 
-// outlasts reports whether a request may still run when this host ends.
+// outlasts reports whether a request is a stream that may still run when this host ends.
 func (s *Server) outlasts(r *request) bool {
 	endsAt := s.endsAt.Load()
-	return endsAt != nil && !r.deadline.Before(*endsAt)
+	return endsAt != nil && r.route.Execution == object.Stream && !r.deadline.Before(*endsAt)
 }
 
 // CloseToNew refuses requests that arrive from now on.
--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -31,7 +31,7 @@
 	Rollout Rollout `yaml:"rollout"`
 	// StopServe is how long a stopping host serves callers that still know it. Default 4s.
 	StopServe time.Duration `yaml:"stop-serve"`
-	// StopServeLong is how long it takes requests that may last longer than its stop, at most
+	// StopServeLong is how long it takes streams that may last longer than its stop, at most
 	// StopServe. Default 2.8s, or StopServe if that is shorter.
 	StopServeLong time.Duration `yaml:"stop-serve-long"`
 }
