A front that was lost elsewhere may have used its whole part at once

Trace of one: host 1 is served by another arbiter from 40.9 s, uses 12 there within 1.8 s and is killed at 42.7; the arbiter that serves its next run reckons 8.1 at 48.7, by the time that it was away, and grants all else: 73 known, 80 ran. Cause: what the lost run used was reckoned by time, as if it had used its part evenly. It may use it in a moment. Change: an arbiter that has served all fronts for a window before counts the whole part of the lost front until a window after its next start. Test: TestUseOfAFrontThatWasLostElsewhereIsReckonedWith asked for three eighths of the part and asks for all of it (844 instead of 2,250 before); a new row holds what a new arbiter does.

--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -269,14 +269,15 @@
 		if q.servingSince.Before(since) {
 			begin = q.servingSince
 		}
-		unknown += max(window-now.Sub(begin), 0) + q.elsewhere(now, window, since)
+		unknown += min(max(window-now.Sub(begin), 0)+q.elsewhere(now, window, since), window)
 	}
 	return unknown.Seconds() / window.Seconds() / float64(max(len(q.counting), 1))
 }
 
 // elsewhere returns for how long of the last window a host whose front has started at a time may
 // have been served by another arbiter in its run before. Had all fronts been here when it started,
-// that run would have told.
+// that run would have told. An arbiter that has served all for a window before counts all of it:
+// the lost run may have used its whole part in a moment.
 func (q *Quotas) elsewhere(now time.Time, window time.Duration, since time.Time) time.Duration {
 	if q.partAt.Before(since) {
 		return 0
@@ -285,7 +286,11 @@
 	if oldest := now.Add(-window); from.Before(oldest) {
 		from = oldest
 	}
-	return max(since.Sub(from), 0)
+	lost := max(since.Sub(from), 0)
+	if lost > 0 && q.partFrom.Sub(q.servingSince) >= window {
+		return window
+	}
+	return lost
 }
 
 // release gives back what an admitted request was to use that did not run. counted says that
--- a/internal/pool/shard/quotaused_test.go
+++ b/internal/pool/shard/quotaused_test.go
@@ -77,12 +77,15 @@
 	limit := quota.PerSecond*8 + quota.Burst
 	rows := []struct {
 		name string
-		// share is that of this arbiter for the three seconds.
-		share float64
-		want  float64
+		// serving is for how long this arbiter has served before, and share its part for the three
+		// seconds.
+		serving time.Duration
+		share   float64
+		want    float64
 	}{
-		{"it was served here all the while", 1, 0},
-		{"it was served elsewhere", 0.75, limit / 4 * 3 / 8},
+		{"it was served here all the while", time.Minute, 1, 0},
+		{"it was served elsewhere", time.Minute, 0.75, limit / 4},     // It may have used its whole part in a moment.
+		{"and this arbiter is new", 0, 0.75, limit / 4 * (5 + 3) / 8}, // Five seconds before it, three since.
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -91,7 +94,7 @@
 			for _, front := range []wire.HostID{"a", "b", "c", "d"} {
 				q.Learn(now, front, wire.Used{AgeMS: 60000, StepMS: UseStep.Milliseconds()})
 			}
-			q.servingSince, q.servedAt = now.Add(-time.Minute), now
+			q.servingSince, q.servedAt = now.Add(-row.serving), now
 			ask := func(share, cost float64) *QuotaState {
 				state, _ := q.take(now, quota, charge{account: "x", cost: cost, share: share})
 				return state
