--- a/internal/pool/shard/visits.go
+++ b/internal/pool/shard/visits.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"redwinglock/internal/peer/wire"
@@ -27,43 +28,45 @@
 // and by how long it still waits. Deadlines alone do not tell: callers of one route set
 // different ones.
 type visits struct {
+	// newer are those of the present span, older those of the span before.
 	newer, older map[wire.Fingerprint][]visit
-	turnedAt     time.Time
-	count        int
+	// begunAt is when the present span has begun, and count the number of its visits.
+	begunAt time.Time
+	count   int
 }
 
-// turn forgets requests that were refused long ago.
-func (v *visits) turn(now time.Time) {
-	if v.newer != nil && now.Sub(v.turnedAt) < visitSpan && v.count < visitLimit {
+// expire begins a new span when the present one is over or full, and forgets the oldest.
+func (v *visits) expire(now time.Time) {
+	if v.newer != nil && now.Sub(v.begunAt) < visitSpan && v.count < visitLimit {
 		return
 	}
 	v.older = v.newer
-	if now.Sub(v.turnedAt) >= 2*visitSpan {
+	if now.Sub(v.begunAt) >= 2*visitSpan {
 		v.older = nil
 	}
 	v.newer = map[wire.Fingerprint][]visit{}
-	v.turnedAt = now
+	v.begunAt = now
 	v.count = 0
 }
 
 // add remembers a refused request.
-func (v *visits) add(now time.Time, print wire.Fingerprint, refused visit) {
-	v.turn(now)
-	v.newer[print] = append(v.newer[print], refused)
+func (v *visits) add(now time.Time, key wire.Fingerprint, refused visit) {
+	v.expire(now)
+	v.newer[key] = append(v.newer[key], refused)
 	v.count++
 }
 
 // take returns the earlier visit of a caller that waits until the given time, and forgets it.
-func (v *visits) take(now time.Time, print wire.Fingerprint, until time.Time) (visit, bool) {
-	v.turn(now)
+func (v *visits) take(now time.Time, key wire.Fingerprint, until time.Time) (visit, bool) {
+	v.expire(now)
 	for _, known := range []map[wire.Fingerprint][]visit{v.newer, v.older} {
-		for i, earlier := range known[print] {
+		for i, earlier := range known[key] {
 			if earlier.until.Sub(until).Abs() > visitTolerance {
 				continue
 			}
-			known[print] = append(known[print][:i], known[print][i+1:]...)
-			if len(known[print]) == 0 {
-				delete(known, print)
+			known[key] = slices.Delete(known[key], i, i+1)
+			if len(known[key]) == 0 {
+				delete(known, key)
 			}
 			return earlier, true
 		}
--- a/internal/pool/shard/visits_test.go
+++ b/internal/pool/shard/visits_test.go
@@ -9,18 +9,18 @@
 	"redwinglock/internal/peer/wire"
 )
 
-// caller asks the same request again and again, as long as it waits.
+// caller sends the same request again and again, as long as it waits.
 type caller struct {
 	*bench
-	print wire.Fingerprint
-	until time.Time
-	// class is that of its request.
+	fingerprint wire.Fingerprint
+	until       time.Time
+	// change alters what its front tells.
 	change func(*wire.Register)
 }
 
 func (c *caller) ask() *request {
 	id, _ := c.bench.ask("third", func(r *wire.Register) {
-		r.Fingerprint = c.print
+		r.Fingerprint = c.fingerprint
 		r.CallerLeftMS = c.until.Sub(c.now).Milliseconds()
 		r.DeadlineMS = r.CallerLeftMS
 		r.BeginMS, r.ObjectiveMS, r.MaxWaitMS, r.MayReturn = 400, 280, 1000, true
@@ -49,15 +49,15 @@
 		{"at once", 0, nil, 140, true},
 		{"later", 3 * time.Second, nil, 140, true},
 		{"under way for longer", 3 * time.Second, func(c *caller) { c.until = c.until.Add(200 * time.Millisecond) }, 140, true},
-		{"another request", 3 * time.Second, func(c *caller) { c.print++ }, 280, false},
+		{"another request", 3 * time.Second, func(c *caller) { c.fingerprint++ }, 280, false},
 		{"the same request of another caller", 3 * time.Second, func(c *caller) { c.until = c.until.Add(time.Second) }, 280, false},
-		{"a front that does not tell", 3 * time.Second, func(c *caller) { c.print = 0 }, 280, false},
+		{"a front that does not tell", 3 * time.Second, func(c *caller) { c.fingerprint = 0 }, 280, false},
 		{"a caller that does not tell", 3 * time.Second, func(c *caller) { c.change = func(r *wire.Register) { r.CallerLeftMS = 0 } }, 280, false},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			b := fullBench(t)
-			c := &caller{bench: b, print: 7, until: b.now.Add(15 * time.Second)}
+			c := &caller{bench: b, fingerprint: 7, until: b.now.Add(15 * time.Second)}
 			first := c.ask()
 			require.EqualValues(t, 280, first.ObjectiveMS)
 			require.True(t, first.MayReturn)
@@ -84,7 +84,7 @@
 // TestCallerThatComesBackTwiceHasWaitedSinceItFirstCame refuses a caller that is known already.
 func TestCallerThatComesBackTwiceHasWaitedSinceItFirstCame(t *testing.T) {
 	b := fullBench(t)
-	c := &caller{bench: b, print: 7, until: b.now.Add(15 * time.Second)}
+	c := &caller{bench: b, fingerprint: 7, until: b.now.Add(15 * time.Second)}
 	came := b.now
 	for range 3 {
 		require.Equal(t, came, c.ask().callerSince)
