A flood of one request costs no search: sixteen visits with one fingerprint are remembered

Found while reading the diff: visits with the same fingerprint stood in one list that each registration searches; an account that sends one request 1,400 times a second and is refused would have 21,000 there.

--- a/internal/pool/shard/visits.go
+++ b/internal/pool/shard/visits.go
@@ -13,6 +13,9 @@
 	visitSpan = 15 * time.Second
 	// visitLimit bounds the refused requests that are remembered in one span.
 	visitLimit = 1 << 15
+	// alikeLimit bounds those with the same fingerprint, so that a flood of one request costs
+	// no search among all of it.
+	alikeLimit = 16
 	// visitTolerance is how far the end of a caller's patience may differ between its visits: its
 	// requests are under way for different times.
 	visitTolerance = 250 * time.Millisecond
@@ -52,6 +55,10 @@
 // add remembers a refused request.
 func (v *visits) add(now time.Time, key wire.Fingerprint, refused visit) {
 	v.expire(now)
+	if alike := v.newer[key]; len(alike) >= alikeLimit {
+		v.newer[key] = append(slices.Delete(alike, 0, 1), refused)
+		return
+	}
 	v.newer[key] = append(v.newer[key], refused)
 	v.count++
 }
--- a/internal/pool/shard/visits_test.go
+++ b/internal/pool/shard/visits_test.go
@@ -92,6 +92,18 @@
 	}
 }
 
+// TestFloodOfOneRequestIsRememberedInPart sends the same request far more often than it is served.
+func TestFloodOfOneRequestIsRememberedInPart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := &visits{}
+	for i := range 10_000 {
+		v.add(now, 1, visit{now, now.Add(time.Duration(i) * time.Second)})
+	}
+	require.Len(t, v.newer[1], alikeLimit)
+	_, found := v.take(now, 1, now.Add(9_999*time.Second))
+	require.True(t, found, "the latest are kept")
+}
+
 // TestRefusedRequestsAreForgotten bounds what is remembered by time and by number.
 func TestRefusedRequestsAreForgotten(t *testing.T) {
 	now := time.Unix(1000, 0)
