redwinglock pools: the states of pools, second by second, from the logs of hosts

The command prints a row a second and class: slots, idle ones, waiting, late, kept, granted, refused by reason, come again; it marks a class that waits beside idle slots. One reader of log files for both commands.

--- a/internal/entry/command/explain.go
+++ b/internal/entry/command/explain.go
@@ -1,19 +1,13 @@
 package command
 
 import (
-	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 )
 
-// maxLogLine is the length from which a line is passed over. Hosts write none as long.
-const maxLogLine = 1 << 20
-
 // logLine is a line of a host's log with what is needed to find a request in it.
 type logLine struct {
 	file    string
@@ -49,34 +43,20 @@
 
 // readLog returns the lines of a log that are about a request.
 func readLog(file string) ([]logLine, error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return nil, fmt.Errorf("read log: %w", err)
-	}
-	defer f.Close()
 	var lines []logLine
-	reader := bufio.NewReaderSize(f, maxLogLine)
-	for goesOn := false; ; {
-		content, more, err := reader.ReadLine()
-		if errors.Is(err, io.EOF) {
-			return lines, nil
-		}
-		if err != nil {
-			return nil, fmt.Errorf("read log %s: %w", file, err)
-		}
-		if line, found := parseLine(file, string(content)); found && !goesOn && !more {
+	err := eachLine(file, func(content string) {
+		if line, found := parseLine(file, content); found {
 			lines = append(lines, line)
 		}
-		goesOn = more
-	}
+	})
+	return lines, err
 }
 
 // parseLine returns what a line tells of a request. Other programs may write to the same log;
 // their lines are passed over.
 func parseLine(file, content string) (logLine, bool) {
-	_, text, found := strings.Cut(content, "{")
-	line := logLine{file: file, text: "{" + text}
-	if !found || json.Unmarshal([]byte(line.text), &line) != nil {
+	line := logLine{file: file, text: objectOf(content)}
+	if line.text == "" || json.Unmarshal([]byte(line.text), &line) != nil {
 		return logLine{}, false
 	}
 	return line, line.Request != ""
--- /dev/null
+++ b/internal/entry/command/pools_test.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// poolLog holds two states of a pool, the later one first, between other lines.
+const poolLog = `  22.0 front-1 {"msg":"arbiter: Pool state.","pool":"p","time":"2026-12-04T05:00:22Z","slots":1024,"slot-share":1,` +
+	`"running":{"first":432,"third":154},"waiting":{"first":0,"third":246},"late":{"third":200},"kept":{"third":871},` +
+	`"granted":{"first":900,"third":23},"refused":{"first":{},"third":{"queue-timeout":10,"queue-full":350}},"refused-again":{"third":167}}
+started
+{"msg":"arbiter: Request refused.","pool":"p","time":"2026-12-04T05:00:21Z","running":{"first":1}}
+{"msg":"arbiter: Pool state.","pool":"p","time":"2026-12-04T05:00:20Z","slots":1024,"slot-share":0.5,"running":{"first":300,"third":212},"waiting":{"third":5}}
+{"msg":"arbiter: Pool state.","pool":"busy","time":"2026-12-04T05:00:20Z","slots":8,"slot-share":1,"running":{"first":1}}
+{"msg":"arbiter: Pool state.","pool":"idle","time":"2026-12-04T05:00:20Z","slots":8,"slot-share":1,"running":{"first":0},"refused":{"first":{}}}
+`
+
+func TestPoolsPrintsWhatBecameOfEachClass(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "host.log")
+	require.NoError(t, os.WriteFile(file, []byte(poolLog), 0o600))
+	rows := []struct {
+		name   string
+		filter PoolsFilter
+		want   [][]string // The words of each row that must follow each other.
+	}{
+		{"one class", PoolsFilter{Pool: "p", Class: "third"}, [][]string{
+			{"05:00:20Z", "p", "512", "0", "third", "212", "5"},
+			{"05:00:22Z", "p", "1024", "438", "third", "154", "246", "200", "871", "23", "360", "167", "queue-full 350, queue-timeout 10", "slots idle"},
+		}},
+		{"one pool", PoolsFilter{Pool: "p"}, [][]string{{"first", "300"}, {"third", "212"}, {"first", "432", "0"}, {"third", "154"}}},
+		{"all", PoolsFilter{}, [][]string{{"p", ".*first"}, {"p", ".*third"}, {"busy", ".*first"}, {"first", "432"}, {"third", "154"}}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var out bytes.Buffer
+			require.NoError(t, Pools([]string{file}, row.filter, &out))
+			lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+			require.Len(t, lines, len(row.want)+1)
+			for i, words := range row.want {
+				require.Regexp(t, strings.Join(words, " +"), lines[i+1])
+			}
+		})
+	}
+	marked := strings.Count(printed(t, file, PoolsFilter{}), "slots idle")
+	require.Equal(t, 1, marked, "a class that waits for nothing is not marked")
+}
+
+func printed(t *testing.T, file string, filter PoolsFilter) string {
+	var out bytes.Buffer
+	require.NoError(t, Pools([]string{file}, filter, &out))
+	return out.String()
+}
+
+func TestPoolsNamesWhatIsWrong(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "host.log")
+	require.NoError(t, os.WriteFile(file, []byte(poolLog), 0o600))
+	var out bytes.Buffer
+	require.Equal(t, ExitInvalid, ExitCode(Pools([]string{file}, PoolsFilter{Pool: "none"}, &out)))
+	require.Equal(t, ExitFailed, ExitCode(Pools([]string{file + "-none"}, PoolsFilter{}, &out)))
+	require.Empty(t, out.String())
+}
--- a/main.go
+++ b/main.go
@@ -43,6 +43,12 @@
 	Files []string `arg:"positional,required" help:"logs of hosts"`
 }
 
+type poolsCommand struct {
+	Pool  string   `arg:"--pool" help:"this pool only"`
+	Class string   `arg:"--class" help:"this class of requests only"`
+	Files []string `arg:"positional,required" help:"logs of hosts"`
+}
+
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an entry host"`
 	Check   *pathCommand    `arg:"subcommand:check" help:"check objects without a host"`
@@ -54,6 +60,7 @@
 	Undrain *targetsCommand `arg:"subcommand:undrain" help:"send work to targets again"`
 	Status  *struct{}       `arg:"subcommand:status" help:"print the state of a host"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"print what the logs of hosts tell of one request"`
+	Pools   *poolsCommand   `arg:"subcommand:pools" help:"print the states of pools that the logs of hosts tell"`
 	HashKey *hashKeyCommand `arg:"subcommand:hash-key" help:"print the digest under which a key is stored"`
 	Version *struct{}       `arg:"subcommand:version" help:"print the version"`
 
@@ -105,6 +112,8 @@
 		return commands.Status(ctx)
 	case args.Explain != nil:
 		return command.Explain(args.Explain.ID, args.Explain.Files, os.Stdout)
+	case args.Pools != nil:
+		return command.Pools(args.Pools.Files, command.PoolsFilter{Pool: args.Pools.Pool, Class: args.Pools.Class}, os.Stdout)
 	case args.HashKey != nil:
 		fmt.Println(object.HashKey(args.HashKey.Key))
 	case args.Version != nil:
