--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -254,9 +254,12 @@
 	q.servedAt = now
 	if share < 1 {
 		q.partFrom, q.partAt = q.wholeAt, now
-	} else {
-		q.wholeAt = now
+		return
+	}
+	if q.partAt.After(q.wholeAt) {
+		q.partAt = now // All are served again now; when that began is not known.
 	}
+	q.wholeAt = now
 }
 
 // unknownPart returns which part of the use of the last window nobody remembers: that of
@@ -276,8 +279,9 @@
 
 // elsewhere returns for how long of the last window a host whose front has started at a time may
 // have been served by another arbiter in its run before. Had all fronts been here when it started,
-// that run would have told. An arbiter that has served all for a window before counts all of it:
-// the lost run may have used its whole part in a moment.
+// that run would have told. An arbiter that has served all for half a window before counts all of
+// it: the lost run may have used its whole part in a moment. A newer one does not know yet which fronts
+// were lost and which have just started with it.
 func (q *Quotas) elsewhere(now time.Time, window time.Duration, since time.Time) time.Duration {
 	if q.partAt.Before(since) {
 		return 0
@@ -287,7 +291,7 @@
 		from = oldest
 	}
 	lost := max(since.Sub(from), 0)
-	if lost > 0 && q.partFrom.Sub(q.servingSince) >= window {
+	if lost > 0 && q.partFrom.Sub(q.servingSince) >= window/2 {
 		return window
 	}
 	return lost
--- a/internal/pool/shard/quotaused_test.go
+++ b/internal/pool/shard/quotaused_test.go
@@ -81,11 +81,17 @@
 		// seconds.
 		serving time.Duration
 		share   float64
-		want    float64
+		// quiet is set if no request comes while the host starts again.
+		quiet bool
+		want  float64
 	}{
-		{"it was served here all the while", time.Minute, 1, 0},
-		{"it was served elsewhere", time.Minute, 0.75, limit / 4},     // It may have used its whole part in a moment.
-		{"and this arbiter is new", 0, 0.75, limit / 4 * (5 + 3) / 8}, // Five seconds before it, three since.
+		{"it was served here all the while", time.Minute, 1, false, 0},
+		// It may have used its whole part in a moment.
+		{"it was served elsewhere", time.Minute, 0.75, false, limit / 4},
+		{"and nobody asked when it came back", time.Minute, 0.75, true, limit / 4},
+		{"and this arbiter has served for half a window", 4 * time.Second, 0.75, false, limit / 4},
+		// Five seconds before it, three since.
+		{"and this arbiter is new", 0, 0.75, false, limit / 4 * (5 + 3) / 8},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -104,8 +110,12 @@
 				require.Nil(t, ask(row.share, 0))
 			}
 			q.Forget("d")
+			now = now.Add(10 * time.Millisecond)
 			q.Learn(now, "d-again", wire.Used{StepMS: UseStep.Milliseconds()})
-			require.Nil(t, ask(row.share, 0))
+			if !row.quiet {
+				require.Nil(t, ask(row.share, 0))
+			}
+			now = now.Add(20 * time.Millisecond)
 			state := ask(1, 2*limit)
 			require.NotNil(t, state)
 			require.InDelta(t, row.want, state.Used, limit/100)
