A rollout gives the new version enough requests to be judged in time

In a rollout of six seconds what has to be left for the moment in which the new version takes over is all of the allowed share; the trial got 1% of the requests, 16 answers by the last time at which it could take over, and 20 are asked. At 400 a second it was 20. Change: the new version gets 32 requests at least over the time, at most the slack. After: fewer than 10 of 1,000 at each rate; versions that turn bad at the end stay inside the allowed share (rows for 100, 340 and 700 a second added), as do all generated bad ones; long rollouts are not changed, 32 is less than their share.

--- a/internal/pool/trial/trial.go
+++ b/internal/pool/trial/trial.go
@@ -48,6 +48,9 @@
 	writeLead = 250 * time.Millisecond
 	// minAnswers is the number of answers of the new version from which it can be judged sound.
 	minAnswers = 20
+	// enoughAnswers is the number of requests that the new version gets at least, so that there are
+	// minAnswers in time.
+	enoughAnswers = 1.6 * minAnswers
 )
 
 // Plan is what was ordered.
@@ -225,7 +228,8 @@
 	span := t.plan.Duration.Seconds()
 	share := t.plan.Share - minLead.Seconds()/max(span, minLead.Seconds())
 	if perSecond, _ := t.rate(now); perSecond > 0 {
-		share += slackPart * t.plan.Slack / (perSecond * span)
+		requests := perSecond * span
+		share = max(share+slackPart*t.plan.Slack/requests, min(enoughAnswers, t.plan.Slack)/requests)
 	}
 	return math.Min(math.Max(share, t.plan.Share*firstShare), t.plan.Share*lastShare)
 }
--- a/internal/pool/trial/trial_test.go
+++ b/internal/pool/trial/trial_test.go
@@ -235,9 +235,37 @@
 	}
 }
 
+// shortTime is that of a rollout in six seconds, less the half second after which a verdict is of no
+// use.
+const shortTime = 5500 * time.Millisecond
+
+// shortClasses is one kind of request of a small service.
+func shortClasses(rate float64) []class {
+	return []class{{"priority-0", rate, 0, 5 * time.Millisecond, false}}
+}
+
+// TestRolloutOfAGoodVersionCompletesInAShortTime plays small services. What they may
+// give to a new version has to do for a judgement and for the moment in which that one takes over.
+func TestRolloutOfAGoodVersionCompletesInAShortTime(t *testing.T) {
+	for _, rate := range []float64{100, 200, 340, 400, 700} {
+		t.Run(fmt.Sprintf("%.0f a second", rate), func(t *testing.T) {
+			t.Parallel()
+			rolledBack := 0
+			for seed := range uint64(goodRollouts) {
+				d := newDay(seed, shortClasses(rate))
+				d.span = shortTime
+				if d.play() != Completed {
+					rolledBack++
+				}
+			}
+			require.Less(t, rolledBack, 10, "of %d", goodRollouts)
+		})
+	}
+}
+
 func newDay(seed uint64, classes []class) *day {
 	d := &day{random: rand.New(rand.NewPCG(seed, 20261204)), classes: classes, targets: 60, span: 12 * time.Second}
-	if len(classes) == len(ordersClasses) {
+	if len(classes) <= len(ordersClasses) {
 		d.targets = 3
 	}
 	for side := range d.names {
@@ -254,11 +282,27 @@
 // TestRolloutStaysInsideTheShareThoughItTurnsBadAtTheEnd plays versions that turn bad when it
 // is too late to find out.
 func TestRolloutStaysInsideTheShareThoughItTurnsBadAtTheEnd(t *testing.T) {
-	for seed := range uint64(*rolloutsEach) {
-		d := newDay(seed, shiftedClasses)
-		d.fault = fault{failing: 1, from: 0.97}
-		d.play()
-		require.LessOrEqual(t, d.exposed, exposeShare*d.total+exposeSlack, "seed %d", seed)
+	rows := []struct {
+		name    string
+		classes []class
+		span    time.Duration
+	}{
+		{"engines", shiftedClasses, 12 * time.Second},
+		{"a small service for a short time", shortClasses(100), shortTime},
+		{"a service for a short time", shortClasses(340), shortTime},
+		{"a busy service for a short time", shortClasses(700), shortTime},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(*rolloutsEach) {
+				d := newDay(seed, row.classes)
+				d.span = row.span
+				d.fault = fault{failing: 1, from: 0.97}
+				d.play()
+				require.LessOrEqual(t, d.exposed, exposeShare*d.total+exposeSlack, "seed %d", seed)
+			}
+		})
 	}
 }
 
