--- a/internal/entry/gateway/dialect.go
+++ b/internal/entry/gateway/dialect.go
@@ -67,6 +67,9 @@
 	// RetryAfter is the unparsed number of seconds for which a target that refused the request
 	// accepts no requests, empty if not given.
 	RetryAfter string
+	// RateLimit is the unparsed rate limit of the target in requests per second, as often as the
+	// response names it, nil if it names none.
+	RateLimit []string
 	// ID is the id of the request that was answered.
 	ID string
 	// Sealed is set if the response has the seal by which a target proves that it sent it.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -37,6 +37,9 @@
 // lines about refusals and failures are not dropped.
 const answeredLogsPerSecond = 100
 
+// rateLimitLogsPerSecond bounds the log lines about rate limits that targets name.
+const rateLimitLogsPerSecond = 10
+
 // Server answers callers.
 type Server struct {
 	common   *common.Common
@@ -49,6 +52,8 @@
 	notices  *targetNotices
 	// answeredLogs bounds the log lines about answered requests.
 	answeredLogs common.RateLimit
+	// rateLimitLogs bounds the log lines about rate limits of targets.
+	rateLimitLogs common.RateLimit
 
 	hostID wire.HostID
 	nextID atomic.Uint64
@@ -63,16 +68,17 @@
 // New creates a server.
 func New(c *common.Common, b *board.Board, arbiters *arbiter.Client, targets *passthrough.Client, dialect Dialect) *Server {
 	return &Server{
-		common:       c,
-		log:          c.Log("gateway"),
-		board:        b,
-		arbiters:     arbiters,
-		targets:      targets,
-		dialect:      dialect,
-		retries:      newRetryBudget(c.Settings.Gateway.RetryShare, c.Settings.Gateway.RetrySlack, func() int { return b.Members().Registered }),
-		notices:      newTargetNotices(arbiters),
-		answeredLogs: common.RateLimit{Limit: answeredLogsPerSecond},
-		hostID:       b.Members().Self.Run,
+		common:        c,
+		log:           c.Log("gateway"),
+		board:         b,
+		arbiters:      arbiters,
+		targets:       targets,
+		dialect:       dialect,
+		retries:       newRetryBudget(c.Settings.Gateway.RetryShare, c.Settings.Gateway.RetrySlack, func() int { return b.Members().Registered }),
+		notices:       newTargetNotices(arbiters),
+		answeredLogs:  common.RateLimit{Limit: answeredLogsPerSecond},
+		rateLimitLogs: common.RateLimit{Limit: rateLimitLogsPerSecond},
+		hostID:        b.Members().Self.Run,
 	}
 }
 
--- a/internal/entry/gateway/notices.go
+++ b/internal/entry/gateway/notices.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// logRateLimit logs and counts a response that names a rate limit.
+func (s *Server) logRateLimit(r *request, target *object.Target, reply Reply) {
+	if len(reply.RateLimit) == 0 {
+		return
+	}
+	s.common.Metrics.Tagged(map[string]string{"notice": "rate-limit"}).Counter("target_notices").Inc(1)
+	if s.rateLimitLogs.Allow(time.Now()) {
+		r.log.WithFields(logrus.Fields{"target": target.Name, "rate-limit": reply.RateLimit}).Info("Target names a rate limit.")
+	}
+}
+
 // recordNotice records the notice that a target has sent in a response, if the notice is new.
 func (s *Server) recordNotice(r *request, target *object.Target, reply Reply) {
 	now := time.Now()
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -97,6 +97,7 @@
 	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
 	if reply.NotRun || reply.Misdirected || reply.ID == r.info.ID {
 		s.recordNotice(r, target, reply)
+		s.logRateLimit(r, target, reply)
 	}
 	switch {
 	case reply.Misdirected:
--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -54,6 +54,7 @@
 	return Reply{
 		NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
 		ID: h.Get("Id"), Sealed: h.Get("Seal") != "", RetryAfter: h.Get("Retry-After"),
+		RateLimit: h.Values("Rate-Limit"),
 	}
 }
 
