--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -88,9 +88,10 @@
 		if err != nil {
 			return attemptFinal, s.unsentFailure(a, err)
 		}
+		r.rateCounted = ticket.RateCounted()
 		target := s.findOpenTarget(r, name)
 		if target == nil {
-			r.log.WithField("target", name).Info("Target declined: it is not in the configuration of this host or accepts no new requests.")
+			r.log.WithField("target", name).Info("Target declined: it is not in the configuration of this host or accepts no more requests now.")
 			s.notices.resend(r.pool, s.findTarget(r.pool, name), time.Now())
 			ticket.Decline()
 			continue
@@ -173,10 +174,10 @@
 }
 
 // findOpenTarget returns a granted target by the current configuration, or nil if the target is
-// removed or must not receive new requests.
+// removed or must not receive the request.
 func (s *Server) findOpenTarget(r *request, name object.TargetName) *object.Target {
 	t := s.findTarget(r.pool, name)
-	if t == nil || t.Drain || !s.notices.acceptsRequests(t, time.Now()) {
+	if t == nil || t.Drain || !s.notices.acceptsRequests(t, r.rateCounted, time.Now()) {
 		return nil
 	}
 	return t
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -37,7 +37,7 @@
 // lines about refusals and failures are not dropped.
 const answeredLogsPerSecond = 100
 
-// rateLimitLogsPerSecond bounds the log lines about rate limits that targets name.
+// rateLimitLogsPerSecond bounds the log lines about invalid rate limits that targets name.
 const rateLimitLogsPerSecond = 10
 
 // Server answers callers.
@@ -52,7 +52,7 @@
 	notices  *targetNotices
 	// answeredLogs bounds the log lines about answered requests.
 	answeredLogs common.RateLimit
-	// rateLimitLogs bounds the log lines about rate limits of targets.
+	// rateLimitLogs bounds the log lines about invalid rate limits of targets.
 	rateLimitLogs common.RateLimit
 
 	hostID wire.HostID
@@ -75,7 +75,7 @@
 		targets:       targets,
 		dialect:       dialect,
 		retries:       newRetryBudget(c.Settings.Gateway.RetryShare, c.Settings.Gateway.RetrySlack, func() int { return b.Members().Registered }),
-		notices:       newTargetNotices(arbiters),
+		notices:       newTargetNotices(b, arbiters),
 		answeredLogs:  common.RateLimit{Limit: answeredLogsPerSecond},
 		rateLimitLogs: common.RateLimit{Limit: rateLimitLogsPerSecond},
 		hostID:        b.Members().Self.Run,
@@ -133,7 +133,10 @@
 	tried []object.TargetName
 	// possibleRuns is the number of targets that may have run the request.
 	possibleRuns int
-	log          *logrus.Entry
+	// rateCounted is set if the arbiter has counted the current attempt against a rate limit of its
+	// target.
+	rateCounted bool
+	log         *logrus.Entry
 }
 
 func (s *Server) handle(c *gin.Context) {
--- a/internal/entry/gateway/notices.go
+++ b/internal/entry/gateway/notices.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,34 +11,35 @@
 	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/arbiter"
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/object"
 )
 
-// targetNotices stores the notices that this host has received in answers of targets and forwards
-// them to the arbiter. This host obeys them even if the arbiter does not have them.
+// targetNotices writes the notices that this host receives in answers of targets to the board and
+// forwards them to the arbiter. This host obeys all notices on the board even if the arbiter does not
+// have them.
 type targetNotices struct {
+	board    *board.Board
 	arbiters *arbiter.Client
-	book     atomic.Pointer[notice.Book]
+	pacers   pacers
 }
 
-func newTargetNotices(arbiters *arbiter.Client) *targetNotices {
-	return &targetNotices{arbiters: arbiters}
+func newTargetNotices(b *board.Board, arbiters *arbiter.Client) *targetNotices {
+	return &targetNotices{board: b, arbiters: arbiters, pacers: pacers{byTarget: map[object.TargetName]*pacer{}}}
 }
 
-// record stores a notice and sends it to the arbiter.
-func (t *targetNotices) record(n wire.TargetNotice, now time.Time) {
-	for {
-		before := t.book.Load()
-		if t.book.CompareAndSwap(before, before.With(now, n)) {
-			break
-		}
+// acceptsRequests reports whether this host may send a request to a target. rateCounted is set if the
+// arbiter has counted the request against the rate limit of the target. Otherwise, the request counts
+// against this host's own share of the limit.
+func (t *targetNotices) acceptsRequests(target *object.Target, rateCounted bool, now time.Time) bool {
+	state := t.board.Notices().State(target.Name, target.StartedMS)
+	if !state.Open(now) {
+		return false
 	}
-	t.arbiters.Notify(n)
-}
-
-// acceptsRequests reports whether this host may send requests to a target.
-func (t *targetNotices) acceptsRequests(target *object.Target, now time.Time) bool {
-	return t.book.Load().State(target.Name, target.StartedMS).Open(now)
+	if rateCounted || state.RateLimit == 0 {
+		return true
+	}
+	return t.pacers.take(target, float64(state.RateLimit)/float64(max(t.board.Members().Registered, 1)), now)
 }
 
 // resend sends the stored notice of a target, if there is one, to the arbiter again. It is called
@@ -49,25 +49,14 @@
 	if target == nil {
 		return
 	}
-	if n, found := t.book.Load().Notice(now, target.Name, target.StartedMS); found {
+	if n, found := t.board.Notices().Notice(now, target.Name, target.StartedMS); found {
 		n.Pool = pool
 		t.arbiters.Notify(n)
 	}
 }
 
-// logRateLimit logs and counts a response that names a rate limit.
-func (s *Server) logRateLimit(r *request, target *object.Target, reply Reply) {
-	if len(reply.RateLimit) == 0 {
-		return
-	}
-	s.common.Metrics.Tagged(map[string]string{"notice": "rate-limit"}).Counter("target_notices").Inc(1)
-	if s.rateLimitLogs.Allow(time.Now()) {
-		r.log.WithFields(logrus.Fields{"target": target.Name, "rate-limit": reply.RateLimit}).Info("Target names a rate limit.")
-	}
-}
-
 // recordNotice records the notice that a target has sent in a response, if the notice is new.
-func (s *Server) recordNotice(r *request, target *object.Target, reply Reply) {
+func (s *Server) recordNotice(r *request, target *object.Target, reply Reply, sentAt time.Time) {
 	now := time.Now()
 	n := wire.TargetNotice{Pool: r.pool, Target: target.Name, StartedMS: target.StartedMS, Leaving: reply.Leaving && !reply.Misdirected, Moved: reply.Misdirected}
 	if reply.RetryAfter != "" {
@@ -77,25 +66,37 @@
 		}
 		n.PauseMS = delay.Milliseconds()
 	}
-	state := s.notices.book.Load().State(target.Name, target.StartedMS)
+	state := s.board.Notices().State(target.Name, target.StartedMS)
 	isNew := n.Leaving && !state.Leaving || n.Moved && !state.Moved || n.PauseMS > 0
-	if !isNew {
+	n.Rate = s.rateNotice(r, target, reply, now.Sub(sentAt))
+	if !isNew && n.Rate == nil {
 		return
 	}
-	s.notices.record(n, now)
-	s.countNotice(n)
-	r.log.WithFields(logrus.Fields{"target": n.Target, "leaving": n.Leaving, "moved": n.Moved, "quiet-ms": n.PauseMS}).Info("Target takes no new requests.")
+	change := s.board.RecordNotice(now, n)
+	// The arbiter may still pace a target of which this host knows that its limit has ended.
+	if isNew || change.Recorded || r.rateCounted {
+		s.notices.arbiters.Notify(n)
+	}
+	if isNew {
+		s.countNotice(noticeKind(n))
+		r.log.WithFields(logrus.Fields{"target": n.Target, "leaving": n.Leaving, "moved": n.Moved, "quiet-ms": n.PauseMS}).Info("Target takes no new requests.")
+	}
+	s.logRateLimit(r, n.Target, change)
 }
 
-// countNotice counts a notice in the metrics by its kind.
-func (s *Server) countNotice(n wire.TargetNotice) {
-	kind := "quiet"
+// noticeKind returns the kind of a notice for the metrics.
+func noticeKind(n wire.TargetNotice) string {
 	switch {
 	case n.Leaving:
-		kind = "leaving"
+		return "leaving"
 	case n.Moved:
-		kind = "moved"
+		return "moved"
 	}
+	return "quiet"
+}
+
+// countNotice counts a notice in the metrics by its kind.
+func (s *Server) countNotice(kind string) {
 	s.common.Metrics.Tagged(map[string]string{"notice": kind}).Counter("target_notices").Inc(1)
 }
 
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -61,7 +61,11 @@
 	}
 	defer response.Body.Close()
 	failed := response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
-	if err := s.checkReply(r, a, target, response, failed); err != nil {
+	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
+	if reply.NotRun || reply.Misdirected || reply.ID == r.info.ID {
+		s.recordNotice(r, target, reply, sentAt)
+	}
+	if err := s.checkReply(r, a, target, response, reply, failed); err != nil {
 		return wire.Finish{}, err
 	}
 	stats, err := a.copy(response)
@@ -93,12 +97,7 @@
 
 // checkReply returns an error if a response must not be forwarded to the caller. failed is set if
 // the status reports an error of the target itself.
-func (s *Server) checkReply(r *request, a *answer, target *object.Target, response *http.Response, failed bool) error {
-	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
-	if reply.NotRun || reply.Misdirected || reply.ID == r.info.ID {
-		s.recordNotice(r, target, reply)
-		s.logRateLimit(r, target, reply)
-	}
+func (s *Server) checkReply(r *request, a *answer, target *object.Target, response *http.Response, reply Reply, failed bool) error {
 	switch {
 	case reply.Misdirected:
 		r.log.WithField("target", target.Name).Info("Another target has the address.")
@@ -131,7 +130,7 @@
 		return
 	}
 	r.log.WithFields(logrus.Fields{
-		"route": r.route.Name, "tier": r.tier(), "class": r.route.Tier, "target": target.Name, "status": status, "attempts": r.attempts,
+		"route": r.route.Name, "tier": r.tier(), "class": r.route.Tier, "target": target.Name, "status": status, "attempts": r.attempts, "rate-counted": r.rateCounted,
 		"waited-ms": sentAt.Sub(r.arrived).Milliseconds(), "first-ms": f.FirstTokenMS, "total-ms": now.Sub(r.arrived).Milliseconds(),
 		"prompt-tokens": r.info.PromptTokens, "output-tokens": r.info.OutputTokens,
 		"config-revision": r.snapshot.Revision, "target-revision": r.snapshot.TargetRevision,
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -1,5 +1,6 @@
 // Package notice stores what targets report about themselves in their answers: that they are
-// leaving, that they request a pause, or that another target has their address. It does no I/O.
+// leaving, that they request a pause, that they limit the rate of requests, or that another target
+// has their address. It does no I/O.
 package notice
 
 import (
@@ -24,11 +25,13 @@
 
 // entry is the combined content of all notices from one run of a target.
 type entry struct {
+	pool      object.PoolName
 	startedMS int64
 	leaving   bool
 	// moved is true if another target has the address.
 	moved       bool
 	pausedUntil time.Time
+	rate        rateReport
 	updatedAt   time.Time
 }
 
@@ -40,6 +43,16 @@
 	Moved bool
 	// PausedUntil is the end of the pause that the target requested, or zero if it requested none.
 	PausedUntil time.Time
+	// RateLimit is the rate limit that the target named, 0 if it names none.
+	RateLimit wire.RequestRate
+}
+
+// Change is the effect of one notice.
+type Change struct {
+	// Before and After are the states of the run of the target.
+	Before, After State
+	// Recorded is false if the notice added nothing.
+	Recorded bool
 }
 
 // Closed reports whether the target accepts no new requests until it restarts.
@@ -48,30 +61,49 @@
 // Open reports whether the target accepts new requests at the given time.
 func (s State) Open(now time.Time) bool { return !s.Closed() && !now.Before(s.PausedUntil) }
 
-// With returns a book with the notice added and expired entries removed. It ignores a notice
-// from an earlier run of the target than the stored one.
+// With returns a book with the notice added and expired entries removed, or the same book if the
+// notice adds nothing. It ignores a notice from an earlier run of the target than the stored one.
 func (b *Book) With(now time.Time, n wire.TargetNotice) *Book {
+	var before entry
+	found := false
+	if b != nil {
+		before, found = b.byTarget[n.Target]
+	}
+	e := before.with(now, n)
+	if found && e == before {
+		return b
+	}
+	e.updatedAt = now
 	next := &Book{byTarget: map[object.TargetName]entry{}}
 	if b != nil {
 		maps.Copy(next.byTarget, b.byTarget)
 		maps.DeleteFunc(next.byTarget, func(_ object.TargetName, e entry) bool { return now.Sub(e.updatedAt) > retention })
 	}
-	e := next.byTarget[n.Target]
+	next.byTarget[n.Target] = e
+	return next
+}
+
+// with returns the entry with a notice added.
+func (e entry) with(now time.Time, n wire.TargetNotice) entry {
 	if e.startedMS > n.StartedMS {
-		return b
+		return e
 	}
 	if e.startedMS < n.StartedMS {
 		e = entry{startedMS: n.StartedMS}
 	}
-	e.updatedAt = now
+	if n.Pool != "" {
+		e.pool = n.Pool
+	}
 	e.leaving = e.leaving || n.Leaving
 	e.moved = e.moved || n.Moved
 	pause := min(time.Duration(n.PauseMS)*time.Millisecond, MaxPause)
 	if until := now.Add(pause); pause > 0 && until.After(e.pausedUntil) {
 		e.pausedUntil = until
 	}
-	next.byTarget[n.Target] = e
-	return next
+	if n.Rate != nil {
+		e.rate = e.rate.merge(newRateReport(now, *n.Rate))
+	}
+	return e
 }
 
 // State returns the state of one run of a target, or the zero State if there are no notices
@@ -84,18 +116,36 @@
 	if !found || e.startedMS != startedMS {
 		return State{}
 	}
-	return State{Leaving: e.leaving, Moved: e.moved, PausedUntil: e.pausedUntil}
+	return State{Leaving: e.leaving, Moved: e.moved, PausedUntil: e.pausedUntil, RateLimit: e.rate.perSecond}
 }
 
-// Notice returns the state of one run of a target as a message for an arbiter. It returns false
-// if the target accepts new requests at the given time.
+// Notice returns what is stored about one run of a target as a message for another host. It returns
+// false if there is nothing to report.
 func (b *Book) Notice(now time.Time, target object.TargetName, startedMS int64) (wire.TargetNotice, bool) {
-	state := b.State(target, startedMS)
-	if state.Open(now) {
+	if b == nil || b.byTarget[target].startedMS != startedMS {
 		return wire.TargetNotice{}, false
 	}
-	return wire.TargetNotice{
-		Target: target, StartedMS: startedMS, Leaving: state.Leaving, Moved: state.Moved,
-		PauseMS: max(state.PausedUntil.Sub(now).Milliseconds(), 0),
-	}, true
+	return b.byTarget[target].notice(now, target)
+}
+
+// Notices returns everything that is stored as messages for another host.
+func (b *Book) Notices(now time.Time) []wire.TargetNotice {
+	if b == nil {
+		return nil
+	}
+	var all []wire.TargetNotice
+	for target, e := range b.byTarget {
+		if n, found := e.notice(now, target); found {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+func (e entry) notice(now time.Time, target object.TargetName) (wire.TargetNotice, bool) {
+	n := wire.TargetNotice{
+		Pool: e.pool, Target: target, StartedMS: e.startedMS, Leaving: e.leaving, Moved: e.moved,
+		PauseMS: max(e.pausedUntil.Sub(now).Milliseconds(), 0), Rate: e.rate.notice(now),
+	}
+	return n, n.Leaving || n.Moved || n.PauseMS > 0 || n.Rate != nil
 }
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -84,7 +84,7 @@
 	first := t.nextRegistration(t.createdAt, false)
 	t.link = l
 	c.tickets.Store(t.id, t)
-	c.reportUsage(r.Pool, l)
+	c.reportState(r.Pool, l)
 	l.send(wire.Up{Register: &first})
 	t.mu.Unlock()
 	// If the link failed before the ticket was stored, linkFailed has not moved it.
@@ -99,11 +99,11 @@
 	c.linkFor(n.Pool).send(wire.Up{Notice: &n})
 }
 
-// reportUsage sends the quota usage of this front to the arbiter of the pools with shared quotas,
-// when the requests of the front start to go to that arbiter.
-func (c *Client) reportUsage(pool object.PoolName, l link) {
+// reportState sends the quota usage of this front and the notices of targets to the arbiter of the
+// pools with shared quotas, when the requests of the front start to go to that arbiter.
+func (c *Client) reportState(pool object.PoolName, l link) {
 	if config := c.board.Config(); config != nil && config.Pool(pool) != nil && config.Pool(pool).Discovered {
-		c.usage.reportTo(l)
+		c.usage.reportTo(l, c.board)
 	}
 }
 
@@ -280,6 +280,8 @@
 		if t := c.ticket(message.Cancel.ID); t != nil {
 			t.cancel(from, message.Cancel)
 		}
+	case message.Notice != nil:
+		c.board.RecordNotice(time.Now(), *message.Notice)
 	}
 }
 
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -38,6 +38,8 @@
 	requestCost, nextGrantCost float64
 	// grantedAt is when this host received the latest grant.
 	grantedAt time.Time
+	// rateCounted is true if the arbiter has counted the latest grant against a rate limit.
+	rateCounted bool
 	// staleGrantReturned is set once a grant was returned because it arrived or was used too late.
 	staleGrantReturned bool
 
@@ -65,6 +67,14 @@
 // ID returns the id of the request.
 func (t *Ticket) ID() wire.RequestID { return t.id }
 
+// RateCounted reports whether the arbiter has counted the latest grant against a rate limit of its
+// target.
+func (t *Ticket) RateCounted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rateCounted
+}
+
 // Preempted is closed when the arbiter cancels the request.
 func (t *Ticket) Preempted() <-chan struct{} { return t.preempt }
 
@@ -135,6 +145,7 @@
 	t.phase = granted
 	t.grantedAt = time.Now()
 	t.target = g.Target
+	t.rateCounted = g.RateCounted
 	t.client.usage.record(t.registration.Account, t.nextGrantCost)
 	t.nextGrantCost = 0 // A request counts once, however often it is granted.
 	t.decision <- wire.Down{Grant: g}
@@ -274,6 +285,6 @@
 	}
 	t.link = to
 	r := t.nextRegistration(time.Now(), true)
-	t.client.reportUsage(pool, to)
+	t.client.reportState(pool, to)
 	to.send(wire.Up{Register: &r})
 }
--- a/internal/peer/arbiter/usage.go
+++ b/internal/peer/arbiter/usage.go
@@ -6,6 +6,7 @@
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/pool/shard"
+	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/object"
 )
 
@@ -39,9 +40,9 @@
 	window.Add(time.Now(), cost)
 }
 
-// reportTo sends the usage to the arbiter that receives the requests from now on, and notifies the
-// previous arbiter that the front has left it.
-func (u *usage) reportTo(l link) {
+// reportTo sends the usage, and the notices of targets that the board holds, to the arbiter that
+// receives the requests from now on, and notifies the previous arbiter that the front has left it.
+func (u *usage) reportTo(l link, b *board.Board) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.reportedTo == l {
@@ -62,4 +63,7 @@
 		used.Accounts = append(used.Accounts, wire.AccountUsed{Account: name, Costs: costs})
 	}
 	l.send(wire.Up{Used: used})
+	for _, n := range b.Notices().Notices(now) {
+		l.send(wire.Up{Notice: &n})
+	}
 }
--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -24,7 +24,28 @@
 		"pool": pool, "targets": sum.Targets, "open": sum.Open, "ready": sum.Ready, "failed": sum.Failed,
 		"slots": sum.Slots, "slot-share": sum.Share.Slots, "quota-share": sum.Share.Quota,
 		"waiting": sum.Waiting, "late": sum.Late, "running": sum.Running, "kept": sum.Kept,
-	}).WithFields(countFields(w.shard.TakeCounts())).Info("Pool state.")
+		"rate-limited": sum.Limited, "rate-limit": sum.RateLimit, "rate-held-back": sum.HeldBack,
+	}).WithFields(w.countFields(s)).Info("Pool state.")
+}
+
+// countFields returns the counts since the last line as fields of a log line, and adds them to the
+// metrics.
+func (w *worker) countFields(s *Server) logrus.Fields {
+	counts := w.shard.TakeCounts()
+	for _, c := range counts {
+		s.countRateLimited("held-back", c.HeldBack)
+		s.countRateLimited("diverted", c.Diverted)
+	}
+	return countFields(counts)
+}
+
+// countRateLimited counts requests that waited for the rate limit of a target or were granted another
+// target.
+func (s *Server) countRateLimited(effect string, n int) {
+	if n == 0 {
+		return
+	}
+	s.common.Metrics.Tagged(map[string]string{"effect": effect}).Counter("rate_limited_requests").Inc(int64(n))
 }
 
 // refusalCounts holds the number of refusals by class and reason.
@@ -33,14 +54,19 @@
 // countFields returns the counts by class as fields of one log line.
 func countFields(counts map[object.TierName]*shard.Counts) logrus.Fields {
 	granted, grantedLate, refusedAgain := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
+	heldBack, diverted := map[object.TierName]int{}, map[object.TierName]int{}
 	refused := refusalCounts{}
 	for class, c := range counts {
 		granted[class] = c.Granted
 		grantedLate[class] = c.GrantedLate
 		refused[class] = c.Refused
 		refusedAgain[class] = c.RefusedAgain
+		heldBack[class], diverted[class] = c.HeldBack, c.Diverted
+	}
+	return logrus.Fields{
+		"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain,
+		"waited-for-rate": heldBack, "diverted-by-rate": diverted,
 	}
-	return logrus.Fields{"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain}
 }
 
 // refusalLinesPerSecond limits the log lines about refusals of one pool. The summary of the pool
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -33,8 +33,11 @@
 	attachments attachments
 	quotas      *shard.Quotas
 
-	mu      sync.RWMutex
-	workers map[object.PoolName]*worker
+	mu       sync.RWMutex
+	workers  map[object.PoolName]*worker
+	sessions map[*Session]bool
+
+	forwarded forwardedNotices
 }
 
 // New creates a server and starts its ticker.
@@ -49,6 +52,7 @@
 		attachments: attachments{lastRegistered: map[*Session]time.Time{}},
 		quotas:      shard.NewQuotas(),
 		workers:     map[object.PoolName]*worker{},
+		sessions:    map[*Session]bool{},
 	}
 	s.done.Add(2)
 	go s.tick(ctx)
@@ -141,6 +145,11 @@
 	if g := s.common.Settings.Gateway; g != nil {
 		w.shard.SetRolloutLimits(shard.RolloutLimits{Share: g.Rollout.Share, Slack: g.Rollout.Slack})
 	}
+	for _, n := range s.board.Notices().Notices(time.Now()) {
+		if n.Pool == pool {
+			w.notice(time.Now(), n)
+		}
+	}
 	w.configure(s.board)
 	s.workers[pool] = w
 	s.log.WithField("pool", pool).Info("Shard opened.")
@@ -163,9 +172,17 @@
 	box    *wire.Outbox[wire.Down]
 }
 
-// Attach opens a session for a front. Decisions are put into the outbox.
+// Attach opens a session for a front. Decisions are put into the outbox, after what this host knows
+// about targets from their answers.
 func (s *Server) Attach(host wire.HostID, box *wire.Outbox[wire.Down]) *Session {
-	return &Session{server: s, host: host, box: box}
+	session := &Session{server: s, host: host, box: box}
+	s.mu.Lock()
+	s.sessions[session] = true
+	s.mu.Unlock()
+	for _, n := range s.board.Notices().Notices(time.Now()) {
+		box.Send(wire.Down{Notice: &n})
+	}
+	return session
 }
 
 // Handle processes one message of the front.
@@ -180,7 +197,7 @@
 	case message.Used != nil:
 		s.server.quotas.AddReported(now, s.host, *message.Used)
 	case message.Notice != nil:
-		s.server.worker(message.Notice.Pool).notice(now, *message.Notice)
+		s.server.recordNotice(now, *message.Notice)
 	case message.Left:
 		s.server.attachments.drop(s)
 		s.server.quotas.RemoveFront(s.host)
@@ -193,6 +210,9 @@
 // it has ended and its callers are disconnected.
 func (s *Session) Close() error {
 	now := time.Now()
+	s.server.mu.Lock()
+	delete(s.server.sessions, s)
+	s.server.mu.Unlock()
 	s.server.attachments.drop(s)
 	s.server.quotas.RemoveFront(s.host)
 	for _, w := range s.server.allWorkers() {
--- a/internal/peer/wire/builds_test.go
+++ b/internal/peer/wire/builds_test.go
@@ -8,6 +8,38 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestMixedBuildsReadRateLimits decodes messages about rate limits into the fields of builds up to
+// 8804298, which know none, and messages of those builds into the fields of this build.
+func TestMixedBuildsReadRateLimits(t *testing.T) {
+	sent, err := json.Marshal(Down{Grant: &Grant{ID: "h-1", Target: "t", RateCounted: true}})
+	require.NoError(t, err)
+	var earlierGrant struct {
+		Grant struct {
+			ID     RequestID `json:"id"`
+			Target string    `json:"target"`
+		} `json:"grant"`
+	}
+	require.NoError(t, json.Unmarshal(sent, &earlierGrant))
+	require.Equal(t, RequestID("h-1"), earlierGrant.Grant.ID)
+
+	sent, err = json.Marshal(Up{Notice: &TargetNotice{Pool: "p", Target: "t", Rate: &RateNotice{PerSecond: 1.6}}})
+	require.NoError(t, err)
+	var earlierNotice struct {
+		Notice struct {
+			Target  string `json:"target"`
+			Leaving bool   `json:"leaving"`
+			PauseMS int64  `json:"quiet-ms"`
+		} `json:"notice"`
+	}
+	require.NoError(t, json.Unmarshal(sent, &earlierNotice))
+	require.False(t, earlierNotice.Notice.Leaving)
+	require.Zero(t, earlierNotice.Notice.PauseMS, "an older arbiter reads no closure and no pause")
+
+	var down Down
+	require.NoError(t, json.Unmarshal([]byte(`{"grant":{"id":"h-1","target":"t","waited-ms":3}}`), &down))
+	require.False(t, down.Grant.RateCounted, "a grant of an older arbiter counts against the share of the host")
+}
+
 // TestMixedBuildsReadRegistrations decodes a registration of builds up to df0058e, and decodes a
 // registration of this build into the fields of the older builds. Fields that only one side has must
 // be empty or ignored.
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -135,8 +135,23 @@
 	Costs []float64 `json:"costs"`
 }
 
-// TargetNotice forwards to the arbiter of a pool what a target has reported about itself in an
-// answer.
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
+// RateNotice is what an answer of a target says about the rate limit of the target. The two ages
+// bound the time at which the target sent the answer.
+type RateNotice struct {
+	// PerSecond is the number of requests per second that the target accepts from all hosts together.
+	// 0 means that the answer names no limit.
+	PerSecond RequestRate `json:"per-second,omitempty"`
+	// SentAgeUS is the time since the request was sent, in microseconds.
+	SentAgeUS int64 `json:"sent-age-us,omitempty"`
+	// AnsweredAgeUS is the time since the answer arrived, in microseconds.
+	AnsweredAgeUS int64 `json:"answered-age-us,omitempty"`
+}
+
+// TargetNotice carries between hosts what a target has reported about itself in an answer. A front
+// sends it to the arbiter of the pool, which forwards it to all its fronts.
 type TargetNotice struct {
 	Pool   object.PoolName   `json:"pool"`
 	Target object.TargetName `json:"target"`
@@ -148,6 +163,8 @@
 	Moved bool `json:"moved,omitempty"`
 	// PauseMS is how long the target asks to receive no new requests, or 0 if it does not ask so.
 	PauseMS int64 `json:"quiet-ms,omitempty"`
+	// Rate is nil if the notice says nothing about a rate limit.
+	Rate *RateNotice `json:"rate,omitempty"`
 }
 
 // Grant permits the front to dispatch a request to a target.
@@ -157,6 +174,8 @@
 	Target  object.TargetName `json:"target"`
 	// WaitedMS is how long the request has waited, as measured by the arbiter.
 	WaitedMS int64 `json:"waited-ms,omitempty"`
+	// RateCounted is true if the arbiter has counted the grant against the rate limit of the target.
+	RateCounted bool `json:"rate-counted,omitempty"`
 }
 
 // Refuse notifies the front that a waiting request will not be run.
@@ -192,4 +211,6 @@
 	Grant  *Grant  `json:"grant,omitempty"`
 	Refuse *Refuse `json:"refuse,omitempty"`
 	Cancel *Cancel `json:"cancel,omitempty"`
+	// Notice is read as a heartbeat by builds that do not support it.
+	Notice *TargetNotice `json:"notice,omitempty"`
 }
--- a/internal/pool/shard/counts.go
+++ b/internal/pool/shard/counts.go
@@ -14,6 +14,9 @@
 	// already retried or have no time to retry.
 	Refused      map[outcome.Reason]int
 	RefusedAgain int
+	// HeldBack counts requests that waited while a target had a free slot and no more of its rate
+	// limit. Diverted counts grants of another target while there was such a target.
+	HeldBack, Diverted int
 }
 
 // countsOf returns the counts of a class.
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -20,6 +20,8 @@
 	Tier   object.TierName
 	// Waited is the time in the queue.
 	Waited time.Duration
+	// RateCounted is set if the grant counts against a rate limit of the target.
+	RateCounted bool
 }
 
 // Refuse ends a waiting request.
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -67,6 +67,10 @@
 		s.refuse(now, q, outcome.DeadlineUnreachable)
 		return
 	}
+	if s.rateMissesDeadline(now, q) && !s.lowerRunning(q.tier) {
+		s.refuse(now, q, outcome.TargetsRateLimited)
+		return
+	}
 	if s.waiting > s.queueLimit {
 		s.shedOne(now)
 	}
--- a/internal/pool/shard/health.go
+++ b/internal/pool/shard/health.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
 )
 
 // startBackoff stops sending requests to a target until its next attempt, with exponential
@@ -54,7 +56,8 @@
 }
 
 // Notice applies what a target has reported about itself in an answer to any front. The target
-// gets no new requests for the time that it reported, or until it restarts.
+// gets no new requests for the time that it reported, or until it restarts, or no more of them than
+// its rate limit allows.
 func (s *Shard) Notice(now time.Time, n wire.TargetNotice) []Decision {
 	s.notices = s.notices.With(now, n)
 	t := s.targets[n.Target]
@@ -67,11 +70,19 @@
 		t.pauseRequested = true
 		s.pause(t, state.PausedUntil)
 	}
+	if !t.closed {
+		s.setRateLimit(now, t, state.RateLimit)
+	}
 	s.updateReady(t)
 	s.updateTotalSlots()
 	return s.step(now)
 }
 
+// NoticeOf returns what one run of a target has reported about itself.
+func (s *Shard) NoticeOf(name object.TargetName, startedMS int64) notice.State {
+	return s.notices.State(name, startedMS)
+}
+
 // recordFailure counts an interrupted answer or an error of the target. A target that fails much
 // more often than the others gets less work, and finally goes into backoff like an unreachable
 // one, even if it reports itself as healthy. Errors are fast, so such a target would otherwise
@@ -116,14 +127,19 @@
 		s.updateReady(t)
 		return true
 	})
+	s.reopenLimited(now)
 }
 
 // availableAt returns when the target may get its next attempt, zero if it may get one now.
 func (t *target) availableAt() time.Time {
-	if t.pauseRequested && t.pausedUntil.After(t.retryAt) {
-		return t.pausedUntil
+	at := t.retryAt
+	if t.pauseRequested && t.pausedUntil.After(at) {
+		at = t.pausedUntil
+	}
+	if t.rateUsedUp && t.rateOpensAt.After(at) {
+		at = t.rateOpensAt
 	}
-	return t.retryAt
+	return at
 }
 
 // anyOpen reports whether any target may get work now or later.
@@ -139,10 +155,10 @@
 	return false
 }
 
-// allUnavailable reports whether all open targets are in backoff or requested a pause, and when
-// the first of them is available again.
+// allUnavailable reports whether all open targets are in backoff, requested a pause or have used up
+// their rate limit, and when the first of them is available again.
 func (s *Shard) allUnavailable() (time.Time, bool) {
-	if s.ready.len() > 0 || len(s.backingOff)+len(s.paused) == 0 {
+	if s.ready.len() > 0 || len(s.backingOff)+len(s.paused)+len(s.limited) == 0 {
 		return time.Time{}, false
 	}
 	var first time.Time
--- a/internal/pool/shard/overload.go
+++ b/internal/pool/shard/overload.go
@@ -96,8 +96,23 @@
 		}
 		tokens += tier.queuedTokens
 	}
-	own := float64(q.account.queuedTokens-q.estimatedTokens) * float64(q.tier.activeWeight) / float64(q.account.weight)
-	return tokens + min(int64(own), q.tier.queuedTokens-q.estimatedTokens)
+	return tokens + q.tier.tokensAhead(q)
+}
+
+// tokensAhead estimates the number of tokens of the tier that fair sharing puts before a waiting
+// request.
+func (t *tierQueue) tokensAhead(q *request) int64 {
+	own := float64(q.account.queuedTokens-q.estimatedTokens) * float64(t.activeWeight) / float64(q.account.weight)
+	return min(int64(own), t.queuedTokens-q.estimatedTokens)
+}
+
+// tokensAheadShare returns tokensAhead as a fraction of the tokens of all other requests of the tier.
+func (t *tierQueue) tokensAheadShare(q *request) float64 {
+	others := t.queuedTokens - q.estimatedTokens
+	if others <= 0 {
+		return 0
+	}
+	return float64(t.tokensAhead(q)) / float64(others)
 }
 
 // missesDeadline reports whether the request probably cannot be granted in time.
@@ -115,6 +130,7 @@
 	if availableAt, unavailable := s.allUnavailable(); unavailable {
 		wait = max(wait, availableAt.Sub(now))
 	}
+	wait = max(wait, min(s.rateWait(q), maxRetryAfter))
 	return s.extendRetryAfter(now, q, wait)
 }
 
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -36,6 +36,8 @@
 	callerArrivedAt, callerGivesUpAt time.Time
 	// hasPreempted is set after a running request has been canceled for this one.
 	hasPreempted bool
+	// heldBack is set once the request has waited for the rate limit of a target.
+	heldBack bool
 
 	// Set while running.
 	target    *target
@@ -126,6 +128,7 @@
 	q.canceled = false
 	s.updateReady(t)
 	if t.closed && t.inFlight == 0 && s.snapshotTarget(t.name) == nil {
+		s.clearRateLimit(t)
 		delete(s.targets, t.name)
 	}
 }
--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -77,6 +77,7 @@
 func (s *Shard) recordSlotHoldTime(now time.Time, q *request) {
 	d := s.demandOf(now, rank{class: q.tier.classPriority})
 	d.slotHoldTime = updateMean(d.slotHoldTime, now.Sub(q.grantedAt))
+	s.holdTime = updateMean(s.holdTime, now.Sub(q.grantedAt))
 }
 
 // blockedBy reports whether requests with the given slot hold time must leave slots for this
--- a/internal/pool/shard/rollout.go
+++ b/internal/pool/shard/rollout.go
@@ -197,9 +197,9 @@
 		switch {
 		case t.closed:
 		case side == trial.OldVersion:
-			oldSlots += t.limit
+			oldSlots += s.usableSlots(t)
 		default:
-			newSlots += t.limit
+			newSlots += s.usableSlots(t)
 		}
 	}
 	promoted := s.rollout.promoted()
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -36,13 +36,16 @@
 	ready          indexHeap[*target]
 	backingOff     []*target // Unreachable or failing targets whose backoff has not ended.
 	paused         []*target // Targets that rejected a request or requested a pause.
+	limited        []*target // Targets that name a rate limit.
 	prefixes       *prefixMap
 	leavingTargets map[object.TargetName]bool
 	// notices holds what targets have reported about themselves.
 	notices      *notice.Book
 	drainRate    drainRate
 	responseTime responseTime
-	speeds       speeds
+	// holdTime is the mean time that a request holds its slot, 0 if unknown.
+	holdTime time.Duration
+	speeds   speeds
 	// tieBreakSeed orders targets with the same load. 0 orders them by name.
 	tieBreakSeed uint64
 	// speedsComparedAt is the time of the last comparison of target speeds.
@@ -99,6 +102,7 @@
 // SetShare sets the part of the pool that this arbiter may use.
 func (s *Shard) SetShare(now time.Time, share Share) []Decision {
 	s.share = share
+	s.updateRateShares(now)
 	return s.step(now)
 }
 
@@ -122,11 +126,11 @@
 	s.discovered = view.Discovered
 	s.configureTiers(snapshot)
 	s.configureRollout(now, snapshot)
-	s.configureTargets(view)
+	s.configureTargets(now, view)
 	return s.step(now)
 }
 
-func (s *Shard) configureTargets(view *object.PoolView) {
+func (s *Shard) configureTargets(now time.Time, view *object.PoolView) {
 	configured := make(map[object.TargetName]bool, len(view.Targets))
 	for _, spec := range view.Targets {
 		configured[spec.Name] = true
@@ -138,7 +142,9 @@
 		}
 		t.generation = spec.Generation
 		t.configure(spec, view)
-		t.closed = spec.Drain || s.leavingTargets[spec.Name] || s.notices.State(spec.Name, spec.StartedMS).Closed()
+		state := s.notices.State(spec.Name, spec.StartedMS)
+		t.closed = spec.Drain || s.leavingTargets[spec.Name] || state.Closed()
+		s.setRateLimit(now, t, state.RateLimit)
 		s.updateReady(t)
 	}
 	for name, t := range s.targets {
@@ -146,6 +152,7 @@
 			continue
 		}
 		t.closed = true
+		s.clearRateLimit(t)
 		s.updateReady(t)
 		if t.inFlight == 0 {
 			delete(s.targets, name)
@@ -164,7 +171,7 @@
 		if s.rollout != nil && (s.rollout.sideOf(t) == trial.NewVersion) != s.rollout.promoted() {
 			continue // This side of the rollout serves few requests or none.
 		}
-		s.totalSlots += t.limit
+		s.totalSlots += s.usableSlots(t)
 	}
 }
 
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -29,6 +29,9 @@
 			return
 		}
 		t := s.place(now, q)
+		if t == nil {
+			s.countHeldBack(q)
+		}
 		if t == nil && s.avoidedReady(q) {
 			s.refuse(now, q, outcome.NoTarget) // The request must avoid all free targets.
 			continue
@@ -50,9 +53,11 @@
 		if s.rollout != nil && s.rollout.trial != nil {
 			s.rollout.trial.Grant(q.tier.class, s.rollout.sideOf(t))
 		}
+		s.countDiverted(q)
+		s.takeRate(now, t)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
-		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt)})
+		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt), t.rateLimit > 0})
 	}
 }
 
@@ -90,7 +95,7 @@
 	reason, limit := outcome.QueueTimeout, now
 	if availableAt, unavailable := s.allUnavailable(); unavailable && availableAt.After(now) {
 		// No target is available before that time, so requests that expire earlier are refused now.
-		reason, limit = outcome.NoTarget, availableAt
+		reason, limit = s.unavailableReason(), availableAt
 	}
 	var postponed []*request
 	for s.timers.len() > 0 && !limit.Before(s.timers.first().dueAt) {
--- a/internal/pool/shard/summary.go
+++ b/internal/pool/shard/summary.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"redwinglock/internal/peer/wire"
+)
 
 // Waiting returns the number of waiting requests.
 func (s *Shard) Waiting() int { return s.waiting }
@@ -19,6 +23,10 @@
 	Waiting, Late, Running map[string]int
 	// Kept is the number of slots that are reserved for requests that rank above each class.
 	Kept map[string]int
+	// Limited is the number of targets that name a rate limit, RateLimit the sum of these limits in
+	// requests per second, and HeldBack the number of them that have a free slot and have used up their limit.
+	Limited, HeldBack int
+	RateLimit         wire.RequestRate
 }
 
 // Summary returns the state of the pool.
@@ -33,6 +41,13 @@
 			sum.Open++
 		}
 	}
+	for _, t := range s.limited {
+		sum.Limited++
+		sum.RateLimit += t.rateLimit
+		if t.heldBack() {
+			sum.HeldBack++
+		}
+	}
 	for _, t := range s.tiers {
 		sum.Waiting[string(t.class)] += t.waiting
 		sum.Running[string(t.class)] += len(t.running)
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -64,6 +64,13 @@
 	pausedUntil time.Time
 	// pauseRequested is set if the target requested the pause, which may be long.
 	pauseRequested bool
+	// rateLimit is the number of requests per second that the target accepts from all hosts together,
+	// 0 if it names no limit. pacer applies this arbiter's share of it.
+	rateLimit wire.RequestRate
+	pacer     RatePacer
+	// rateUsedUp is set until rateOpensAt, when the limit allows the next request.
+	rateUsedUp  bool
+	rateOpensAt time.Time
 	// errorRate is the moving average of the fraction of failed answers.
 	errorRate float64
 	// excessErrorRate is the part of the error rate above the pool's mean plus the normal
@@ -119,6 +126,13 @@
 
 // slots returns how many requests the target may have in flight.
 func (t *target) slots() int {
+	if t.rateUsedUp {
+		return 0
+	}
+	return t.slotsWithoutRateLimit()
+}
+
+func (t *target) slotsWithoutRateLimit() int {
 	switch {
 	case t.closed || !t.retryAt.IsZero() || !t.pausedUntil.IsZero():
 		return 0
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
@@ -50,6 +51,7 @@
 	hosts    atomic.Pointer[Hosts]
 	stopping atomic.Bool
 	store    atomic.Pointer[StoreState]
+	notices  atomic.Pointer[notice.Book]
 
 	// joined is closed when this host has contacted the other hosts for the first time.
 	joined     chan struct{}
@@ -77,6 +79,21 @@
 // Hosts returns the information from the latest list of hosts.
 func (b *Board) Hosts() *Hosts { return b.hosts.Load() }
 
+// Notices returns what targets have reported about themselves to this host or to a host that has
+// told this one. It may be nil, which is an empty book.
+func (b *Board) Notices() *notice.Book { return b.notices.Load() }
+
+// RecordNotice adds a notice of a target.
+func (b *Board) RecordNotice(now time.Time, n wire.TargetNotice) notice.Change {
+	for {
+		book := b.notices.Load()
+		next := book.With(now, n)
+		if book == next || b.notices.CompareAndSwap(book, next) {
+			return notice.Change{Before: book.State(n.Target, n.StartedMS), After: next.State(n.Target, n.StartedMS), Recorded: book != next}
+		}
+	}
+}
+
 // StoreState is the latest revision of the platform's store that this host has applied,
 // received from the store or from a peer, and the time when that revision was last confirmed
 // to be the newest.
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -50,6 +50,7 @@
 	CallerDisconnected    Reason = "caller-gone"
 	Preempted             Reason = "preempted"
 	TargetsFull           Reason = "targets-full"
+	TargetsRateLimited    Reason = "targets-rate-limited"
 	TargetRefused         Reason = "target-refused"
 	TargetLost            Reason = "target-lost"
 	TargetSilent          Reason = "target-silent"
@@ -79,6 +80,7 @@
 	CallerDisconnected:    499,
 	Preempted:             http.StatusBadGateway,
 	TargetsFull:           http.StatusServiceUnavailable,
+	TargetsRateLimited:    http.StatusServiceUnavailable,
 	TargetRefused:         http.StatusBadGateway,
 	TargetLost:            http.StatusBadGateway,
 	TargetSilent:          http.StatusGatewayTimeout,
