pool/shard: no work for rate limits while no target names one

Each admission walked over all targets, some 630,000 steps a second at the arbiter of the large deployment (2,400 requests a second, 262 targets; reckoned, not measured). Now it ends at once if no target names a limit.

--- a/internal/pool/shard/ratelimit.go
+++ b/internal/pool/shard/ratelimit.go
@@ -172,6 +172,9 @@
 // rateWait returns the time until a waiting request can be granted if all open targets name rate
 // limits, otherwise 0.
 func (s *Shard) rateWait(q *request) time.Duration {
+	if len(s.limited) == 0 {
+		return 0
+	}
 	total := 0.0
 	for _, t := range s.targets {
 		switch {
