--- a/internal/bench/soak/checks.go
+++ b/internal/bench/soak/checks.go
@@ -24,6 +24,7 @@
 	{"known routes and keys are not denied", checkDenials},
 	{"quotas hold", checkQuotas},
 	{"the retry budget holds", checkRetryBudget},
+	{"rate limits of targets hold", checkRateLimits},
 	{"hosts without a fault answer what they passed on", checkLostAnswers},
 	{"planned stops cut nothing", checkPlannedStops},
 	{"work ends when the caller disconnects or the timeout expires", checkCancellation},
--- a/internal/bench/soak/checks_test.go
+++ b/internal/bench/soak/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -79,6 +80,14 @@
 	})
 }
 
+// addLimited records ten seconds of requests to a target that names a rate limit, in steady intervals.
+func (r *Record) addLimited(perSecond float64, intervalMS int) {
+	for ms := 0; ms < 10_000; ms += intervalMS {
+		_, run := r.add("look", fmt.Sprint("limited-", ms), ms)
+		run.AnsweredAt, run.RateLimit = run.Arrived, perSecond
+	}
+}
+
 func TestChecksDetectViolations(t *testing.T) {
 	cut := errors.New("connection reset")
 	rows := []struct {
@@ -168,6 +177,12 @@
 				r.runs = append(r.runs, *run)
 			}
 		}, "retry budget holds"},
+		{"rate limit exceeded", func(r *Record) { r.addLimited(2, 100) }, "names a limit of 2 a second"},
+		{"rate limit kept", func(r *Record) { r.addLimited(2, 300) }, ""},
+		{"rate limit exceeded by a host with a fault", func(r *Record) {
+			r.addLimited(2, 100)
+			r.hostFaults[testHost] = []interval{{from: at(0)}}
+		}, ""},
 		{"answers lost", func(r *Record) {
 			for i := range maxLostAnswers + 1 {
 				a, _ := r.add("book", string(rune('a'+i)), 0)
