--- a/internal/entry/command/pools.go
+++ b/internal/entry/command/pools.go
@@ -34,6 +34,14 @@
 	Granted      map[string]int            `json:"granted"`
 	Refused      map[string]map[string]int `json:"refused"`
 	RefusedAgain map[string]int            `json:"refused-again"`
+	// WaitedForRate and DivertedByRate count requests that waited for the rate limit of a target or
+	// were granted another target.
+	WaitedForRate  map[string]int `json:"waited-for-rate"`
+	DivertedByRate map[string]int `json:"diverted-by-rate"`
+	// RateLimited is the number of targets that name rate limits, RateLimit the sum of these limits in
+	// requests per second.
+	RateLimited int     `json:"rate-limited"`
+	RateLimit   float64 `json:"rate-limit"`
 }
 
 // poolStateMessage is the end of the message of a poolState line; the name of the log part
@@ -61,7 +69,7 @@
 	}
 	slices.SortStableFunc(states, func(a, b poolState) int { return strings.Compare(a.Time, b.Time) })
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "TIME\tPOOL\tSLOTS\tIDLE\tCLASS\tRUNNING\tWAITING\tLATE\tKEPT FROM IT\tGRANTED\tREFUSED\tAGAIN\tREASONS\t")
+	fmt.Fprintln(w, "TIME\tPOOL\tSLOTS\tIDLE\tCLASS\tRUNNING\tWAITING\tLATE\tKEPT FROM IT\tGRANTED\tREFUSED\tAGAIN\tREASONS\tNOTES\t")
 	for _, s := range states {
 		for _, class := range slices.Sorted(maps.Keys(s.Running)) {
 			if filter.Class == "" || class == filter.Class {
@@ -118,11 +126,15 @@
 		reasons = append(reasons, fmt.Sprintf("%s %d", reason, n))
 	}
 	idle := s.idleSlots()
-	mark := ""
+	var notes []string
 	if float64(idle) > s.Slots*s.Share/idleMarkDivisor && s.Waiting[class]+refused > 0 {
-		mark = "slots idle"
+		notes = append(notes, "slots idle")
+	}
+	if s.RateLimited > 0 {
+		notes = append(notes, fmt.Sprintf("%d targets limited to %g/s, %d waited for it, %d diverted",
+			s.RateLimited, s.RateLimit, s.WaitedForRate[class], s.DivertedByRate[class]))
 	}
 	fmt.Fprintf(w, "%s\t%s\t%.0f\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n",
 		s.Time, s.Pool, s.Slots*s.Share, idle, class, s.Running[class], s.Waiting[class], s.Late[class], s.Kept[class],
-		s.Granted[class], refused, s.RefusedAgain[class], strings.Join(reasons, ", "), mark)
+		s.Granted[class], refused, s.RefusedAgain[class], strings.Join(reasons, ", "), strings.Join(notes, "; "))
 }
--- a/internal/entry/command/pools_test.go
+++ b/internal/entry/command/pools_test.go
@@ -17,7 +17,7 @@
 started
 {"msg":"arbiter: Request refused.","pool":"p","time":"2026-12-04T05:00:21Z","running":{"first":1}}
 {"msg":"arbiter: Pool state.","pool":"p","time":"2026-12-04T05:00:20Z","slots":1024,"slot-share":0.5,"running":{"first":300,"third":212},"waiting":{"third":5}}
-{"msg":"arbiter: Pool state.","pool":"busy","time":"2026-12-04T05:00:20Z","slots":8,"slot-share":1,"running":{"first":1}}
+{"msg":"arbiter: Pool state.","pool":"busy","time":"2026-12-04T05:00:20Z","slots":8,"slot-share":1,"running":{"first":1},"rate-limited":2,"rate-limit":4.6,"waited-for-rate":{"first":3},"diverted-by-rate":{"first":7}}
 {"msg":"arbiter: Pool state.","pool":"idle","time":"2026-12-04T05:00:20Z","slots":8,"slot-share":1,"running":{"first":0},"refused":{"first":{}}}
 `
 
@@ -33,6 +33,7 @@
 			{"05:00:20Z", "p", "512", "0", "third", "212", "5"},
 			{"05:00:22Z", "p", "1024", "438", "third", "154", "246", "200", "871", "23", "360", "167", "queue-full 350, queue-timeout 10", "slots idle"},
 		}},
+		{"rate limits", PoolsFilter{Pool: "busy"}, [][]string{{"busy", ".*2 targets limited to 4.6/s, 3 waited for it, 7 diverted"}}},
 		{"one pool", PoolsFilter{Pool: "p"}, [][]string{{"first", "300"}, {"third", "212"}, {"first", "432", "0"}, {"third", "154"}}},
 		{"all", PoolsFilter{}, [][]string{{"p", ".*first"}, {"p", ".*third"}, {"busy", ".*first"}, {"first", "432"}, {"third", "154"}}},
 	}
