entry/gateway: a refusal without a rate limit does not end it

A target that names a limit in its answers and refuses a request as full without naming it would have been opened at once. Only an answer of a request that ran ends a limit. TestRefusalWithoutRateLimitDoesNotEndIt fails without the change.

--- a/internal/entry/gateway/ratelimits.go
+++ b/internal/entry/gateway/ratelimits.go
@@ -52,8 +52,9 @@
 	if err != nil && s.rateLimitLogs.Allow(time.Now()) {
 		r.log.WithError(err).WithField("target", target.Name).Warn("Rate limit of a target bounded or ignored.")
 	}
-	limited := limit > 0 || r.rateCounted || s.board.Notices().State(target.Name, target.StartedMS).RateLimit > 0
-	if !known || !limited {
+	limited := r.rateCounted || s.board.Notices().State(target.Name, target.StartedMS).RateLimit > 0
+	mayEnd := limited && !reply.NotRun // A refusal need not name the limit.
+	if !known || limit == 0 && !mayEnd {
 		return nil
 	}
 	return &wire.RateNotice{PerSecond: limit, SentAgeUS: sentAge.Microseconds()}
--- a/internal/entry/gateway/ratelimits_test.go
+++ b/internal/entry/gateway/ratelimits_test.go
@@ -105,6 +105,24 @@
 	require.Zero(t, s.board.Notices().State("t-1", 0).RateLimit)
 }
 
+// TestRefusalWithoutRateLimitDoesNotEndIt makes a target name a limit in its first answer and refuse all
+// later requests without a word about it.
+func TestRefusalWithoutRateLimitDoesNotEndIt(t *testing.T) {
+	var answered atomic.Bool
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		if answered.CompareAndSwap(false, true) {
+			limitTo("20")(w, r)
+			return
+		}
+		notRun(w, r)
+	}, answerWith(http.StatusOK, "second"))
+	require.Eventually(t, func() bool {
+		s.send("POST", "/write/x", "")
+		return s.runs()[0] > 1
+	}, 5*time.Second, time.Millisecond)
+	require.InDelta(t, 20, float64(s.board.Notices().State("t-1", 0).RateLimit), 0)
+}
+
 // TestHostKeepsRateLimitThatItsArbiterDoesNotKnow gives only this host the notice of a limit. It must
 // decline grants beyond its own share and tell the arbiter.
 func TestHostKeepsRateLimitThatItsArbiterDoesNotKnow(t *testing.T) {
