--- a/internal/entry/gateway/ratelimits.go
+++ b/internal/entry/gateway/ratelimits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,18 +23,24 @@
 // pacer paces the requests of this host to one run of a target.
 type pacer struct {
 	startedMS int64
+	usedAt    time.Time
 	shard.RatePacer
 }
 
+// pacerRetention is how long the pacer of a target is kept after its last use.
+const pacerRetention = 10 * time.Minute
+
 // take counts a request and reports whether the limit of this host, in requests per second, allows it.
 func (p *pacers) take(target *object.Target, perSecond float64, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	paced := p.byTarget[target.Name]
 	if paced == nil || paced.startedMS != target.StartedMS {
-		paced = &pacer{target.StartedMS, shard.NewRatePacer(now, perSecond, 0)}
+		maps.DeleteFunc(p.byTarget, func(_ object.TargetName, other *pacer) bool { return now.Sub(other.usedAt) > pacerRetention })
+		paced = &pacer{startedMS: target.StartedMS, RatePacer: shard.NewRatePacer(now, perSecond, 0)}
 		p.byTarget[target.Name] = paced
 	}
+	paced.usedAt = now
 	paced.SetRate(now, perSecond)
 	if !paced.Allows(now) {
 		return false
