pool/trial: a good version of a service with few requests is not rolled back

Cause: the share of a trial was capped at 0.8 of the allowed share also where that is less than the answers that a verdict needs; with 200 requests in six seconds 16 of them. Ruled out: lost answers and false alarms of the tests (no ratio was above its threshold). Change: the share follows the answers that are still missing in the time left, up to 0.6 of the requests; the slack allows it. The share of services with more than some 70 requests a second stays. The simulation now steps a trial each 100 ms as the controller does, with the same random numbers as before; it stepped at requests only, so that at 15 a second some verdicts came after the end.

--- a/internal/pool/trial/trial.go
+++ b/internal/pool/trial/trial.go
@@ -38,6 +38,8 @@
 	initialShareFraction = 0.1
 	maxShareFraction     = 0.8
 	rampFraction         = 0.2
+	// maxTinyServiceShare is the largest share of a trial of a service with few requests.
+	maxTinyServiceShare = 0.6
 	// slackFraction is the fraction of Plan.Slack that a trial uses.
 	slackFraction = 0.6
 	// minPromotionLead and maxPromotionLead bound how long before its end a trial moves all
@@ -232,11 +234,24 @@
 func (t *Trial) maxShare(now time.Time) float64 {
 	seconds := t.plan.Duration.Seconds()
 	share := t.plan.Share - minPromotionLead.Seconds()/max(seconds, minPromotionLead.Seconds())
-	if perSecond, _ := t.requestRate(now); perSecond > 0 {
-		requests := perSecond * seconds
-		share = max(share+slackFraction*t.plan.Slack/requests, min(plannedAnswers, t.plan.Slack)/requests)
+	lowest := t.plan.Share * initialShareFraction
+	if perSecond, exposed := t.requestRate(now); perSecond > 0 {
+		share += slackFraction * t.plan.Slack / (perSecond * seconds)
+		lowest = max(lowest, t.shareForAnswers(now, perSecond, exposed))
 	}
-	return math.Min(math.Max(share, t.plan.Share*initialShareFraction), t.plan.Share*maxShareFraction)
+	share = min(share, t.plan.Share*maxShareFraction)
+	return max(share, lowest)
+}
+
+// shareForAnswers returns the share with which the new version gets plannedAnswers requests before the
+// promotion. The slack allows it also at a service with so few requests that it exceeds the usual share.
+func (t *Trial) shareForAnswers(now time.Time, perSecond, exposed float64) float64 {
+	missing := min(plannedAnswers, t.plan.Slack) - exposed
+	left := t.plan.Begin.Add(t.plan.Duration - minPromotionLead).Sub(now)
+	if missing <= 0 || left <= 0 {
+		return 0
+	}
+	return min(missing/(perSecond*left.Seconds()), maxTinyServiceShare)
 }
 
 func (t *Trial) classCounts(class object.TierName) *sideCounts {
--- a/internal/pool/trial/trial_test.go
+++ b/internal/pool/trial/trial_test.go
@@ -72,6 +72,10 @@
 	exposeSlack = 50
 )
 
+// stepInterval is the longest time between two steps of a trial: the controller of rollouts advances it
+// also while no requests arrive.
+const stepInterval = 100 * time.Millisecond
+
 func (s *simulation) run() Verdict {
 	now := time.Unix(1000, 0)
 	begin := now
@@ -83,8 +87,16 @@
 	for _, c := range s.classes {
 		rate += c.rate
 	}
+	nextRequest := func() time.Time {
+		return now.Add(time.Duration(s.random.ExpFloat64() / rate * float64(time.Second)))
+	}
+	next := nextRequest()
 	for now.Before(begin.Add(s.duration + time.Second)) {
-		now = now.Add(time.Duration(s.random.ExpFloat64() / rate * float64(time.Second)))
+		isRequest := !next.After(now.Add(stepInterval))
+		now = now.Add(stepInterval)
+		if isRequest {
+			now = next
+		}
 		if s.arbiterLost > 0 && now.Sub(begin) > time.Duration(s.arbiterLost*float64(s.duration)) {
 			s.arbiterLost = 0
 			trial = New(now, plan, stored)
@@ -103,7 +115,10 @@
 		if verdict := trial.Step(now, running, true); verdict != Undecided {
 			return verdict
 		}
-		s.request(now, trial, float64(now.Sub(begin))/float64(s.duration), rate)
+		if isRequest {
+			s.request(now, trial, float64(now.Sub(begin))/float64(s.duration), rate)
+			next = nextRequest()
+		}
 	}
 	return Undecided
 }
@@ -249,7 +264,7 @@
 // TestRolloutOfAGoodVersionCompletesInAShortTime simulates small services. Their few requests for
 // the new version must be enough to find it healthy and to cover the time of its promotion.
 func TestRolloutOfAGoodVersionCompletesInAShortTime(t *testing.T) {
-	for _, rate := range []float64{100, 200, 340, 400, 700} {
+	for _, rate := range []float64{15, 40, 60, 100, 200, 340, 400, 700} {
 		t.Run(fmt.Sprintf("%.0f a second", rate), func(t *testing.T) {
 			t.Parallel()
 			rolledBack := 0
@@ -291,6 +306,8 @@
 		duration time.Duration
 	}{
 		{"engines", shiftedClasses, 12 * time.Second},
+		{"a tiny service for a short time", shortClasses(15), shortDuration},
+		{"a very small service for a short time", shortClasses(40), shortDuration},
 		{"a small service for a short time", shortClasses(100), shortDuration},
 		{"a service for a short time", shortClasses(340), shortDuration},
 		{"a busy service for a short time", shortClasses(700), shortDuration},
