--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -147,6 +147,7 @@
 	t.target = g.Target
 	t.rateCounted = g.RateCounted
 	t.client.usage.record(t.registration.Account, t.nextGrantCost)
+	t.client.usage.recordOthers(t.registration.Account, g.OthersUsed)
 	t.nextGrantCost = 0 // A request counts once, however often it is granted.
 	t.decision <- wire.Down{Grant: g}
 	return true
--- a/internal/peer/arbiter/usage.go
+++ b/internal/peer/arbiter/usage.go
@@ -17,12 +17,30 @@
 
 	mu       sync.Mutex
 	accounts map[object.AccountName]*shard.UsageWindow
+	// others holds the usage of the other fronts that the arbiter reported last.
+	others map[object.AccountName]othersUsed
 	// reportedTo is the link whose arbiter has received the usage before its own grants.
 	reportedTo link
 }
 
+// othersUsed is the usage of an account by all other fronts.
+type othersUsed struct {
+	cost float64
+	at   time.Time
+}
+
 func newUsage() *usage {
-	return &usage{startedAt: time.Now(), accounts: map[object.AccountName]*shard.UsageWindow{}}
+	return &usage{startedAt: time.Now(), accounts: map[object.AccountName]*shard.UsageWindow{}, others: map[object.AccountName]othersUsed{}}
+}
+
+// recordOthers stores the usage of an account by all other fronts, as the arbiter reported it.
+func (u *usage) recordOthers(account object.AccountName, cost float64) {
+	if cost <= 0 {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.others[account] = othersUsed{cost, time.Now()}
 }
 
 // record adds the cost of a granted request.
@@ -58,9 +76,15 @@
 		costs := window.Recent(now, shard.MaxUsageWindow)
 		if window.Sum(now, shard.MaxUsageWindow) == 0 {
 			delete(u.accounts, name)
+			delete(u.others, name)
 			continue
 		}
-		used.Accounts = append(used.Accounts, wire.AccountUsed{Account: name, Costs: costs})
+		others := u.others[name]
+		account := wire.AccountUsed{Account: name, Costs: costs, Others: others.cost}
+		if others.cost > 0 {
+			account.OthersAgeMS = now.Sub(others.at).Milliseconds()
+		}
+		used.Accounts = append(used.Accounts, account)
 	}
 	l.send(wire.Up{Used: used})
 	for _, n := range b.Notices().Notices(now) {
--- a/internal/peer/arbiter/usage_test.go
+++ b/internal/peer/arbiter/usage_test.go
@@ -122,3 +122,17 @@
 		})
 	}
 }
+
+// TestNewArbiterReceivesUsageOfOtherFronts passes on what the former arbiter reported with a grant.
+func TestNewArbiterReceivesUsageOfOtherFronts(t *testing.T) {
+	c, ticket, l := newTestTicket()
+	ticket.registration.Account = "a"
+	ticket.nextGrantCost = 7
+	require.True(t, ticket.grant(l, &wire.Grant{ID: "r-1", Target: "t-1", OthersUsed: 26}))
+	next := &fakeLink{}
+	c.usage.reportTo(next, board.New(board.Member{Name: "entry-1"}))
+	used := next.last().Used
+	require.Len(t, used.Accounts, 1)
+	require.InDelta(t, 26, used.Accounts[0].Others, 0)
+	require.Less(t, used.Accounts[0].OthersAgeMS, int64(1000))
+}
--- a/internal/peer/front/worker.go
+++ b/internal/peer/front/worker.go
@@ -140,7 +140,7 @@
 	for _, decision := range decisions {
 		switch d := decision.(type) {
 		case shard.Grant:
-			w.send(d.ID, wire.Down{Grant: &wire.Grant{Attempt: w.sessions[d.ID].attempt, ID: d.ID, Target: d.Target, WaitedMS: d.Waited.Milliseconds(), RateCounted: d.RateCounted}})
+			w.send(d.ID, wire.Down{Grant: &wire.Grant{Attempt: w.sessions[d.ID].attempt, ID: d.ID, Target: d.Target, WaitedMS: d.Waited.Milliseconds(), RateCounted: d.RateCounted, OthersUsed: d.OthersUsed}})
 		case shard.Refuse:
 			w.logRefusal(now, d)
 			w.send(d.ID, wire.Down{Refuse: &wire.Refuse{Attempt: w.sessions[d.ID].attempt, ID: d.ID, Reason: d.Reason, RetryAfterMS: d.RetryAfter.Milliseconds()}})
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -133,6 +133,10 @@
 	Account object.AccountName `json:"account"`
 	// Costs is the usage by step, newest first.
 	Costs []float64 `json:"costs"`
+	// Others is the usage by all other fronts in one window of the quota, as the former arbiter
+	// reported it OthersAgeMS ago. It is 0 if unknown.
+	Others      float64 `json:"others,omitempty"`
+	OthersAgeMS int64   `json:"others-age-ms,omitempty"`
 }
 
 // RequestRate is a number of requests per second.
@@ -176,6 +180,9 @@
 	WaitedMS int64 `json:"waited-ms,omitempty"`
 	// RateCounted is true if the arbiter has counted the grant against the rate limit of the target.
 	RateCounted bool `json:"rate-counted,omitempty"`
+	// OthersUsed is how much of the quota of the account all other fronts have used in its last window,
+	// as far as the arbiter knows.
+	OthersUsed float64 `json:"others-used,omitempty"`
 }
 
 // Refuse notifies the front that a waiting request will not be run.
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -22,6 +22,8 @@
 	Waited time.Duration
 	// RateCounted is set if the grant counts against a rate limit of the target.
 	RateCounted bool
+	// OthersUsed is the usage of the account's quota by all other fronts in its last window.
+	OthersUsed float64
 }
 
 // Refuse ends a waiting request.
--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	// the part of each front.
 	granted *UsageWindow
 	fronts  map[wire.HostID]*UsageWindow
+	// reports holds the latest report of each front that has moved here from another arbiter.
+	reports map[wire.HostID]frontReport
 	// classes holds the usage per class and pool.
 	classes []*classUsage
 	limit   windowLimit
@@ -50,7 +53,9 @@
 }
 
 func newAccountUsage(now time.Time) *accountUsage {
-	return &accountUsage{bucket: tokenBucket{0, now}, granted: NewUsageWindow(now), fronts: map[wire.HostID]*UsageWindow{}}
+	return &accountUsage{
+		bucket: tokenBucket{0, now}, granted: NewUsageWindow(now), fronts: map[wire.HostID]*UsageWindow{}, reports: map[wire.HostID]frontReport{},
+	}
 }
 
 // addGrant records usage that was granted to a front.
@@ -94,6 +99,7 @@
 	q.prune(now)
 	for _, account := range used.Accounts {
 		usage := q.account(now, account.Account)
+		usage.reports[front] = newFrontReport(now, account)
 		var recorded []float64
 		if window := usage.fronts[front]; window != nil {
 			recorded = window.Recent(now, MaxUsageWindow)
@@ -136,6 +142,7 @@
 				delete(usage.fronts, front)
 			}
 		}
+		maps.DeleteFunc(usage.reports, func(_ wire.HostID, r frontReport) bool { return now.Sub(r.at) > MaxUsageWindow })
 	}
 }
 
@@ -177,7 +184,11 @@
 		return usage.admitByRate(now, quota, c)
 	}
 	window := time.Duration(quota.Window)
-	limit := c.share * usage.limit.update(now, window, quota.PerSecond*window.Seconds()+quota.Burst+quota.AllowedOverage()*grantedTolerance)
+	whole := usage.limit.update(now, window, quota.PerSecond*window.Seconds()+quota.Burst+quota.AllowedOverage()*grantedTolerance)
+	limit := c.share * whole
+	if c.share < 1 {
+		limit = max(min(limit, whole-usage.usedElsewhere(now, window)), 0)
+	}
 	used := usage.granted.Sum(now, window) + usage.waitingCost + limit*q.unknownFraction(now, window)
 	classUsed, classLimit := usage.classUsedAndLimit(now, window, limit, c)
 	missing := max(used+c.cost-limit, classUsed+c.cost-classLimit)
@@ -238,13 +249,15 @@
 	return nil, 0
 }
 
-// recordGrant counts an admitted request as used when it is granted.
-func (q *Quotas) recordGrant(now time.Time, name object.AccountName, front wire.HostID, cost float64) {
+// recordGrant counts an admitted request as used when it is granted. It returns the usage of all other
+// fronts in the window.
+func (q *Quotas) recordGrant(now time.Time, name object.AccountName, front wire.HostID, cost float64, window time.Duration) float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	usage := q.account(now, name)
 	usage.waitingCost -= cost
 	usage.addGrant(now, front, cost)
+	return max(usage.granted.Sum(now, window)-usage.fronts[front].Sum(now, window), 0)
 }
 
 // recordServing updates the times at which this arbiter has handled requests, for all fronts or
@@ -336,12 +349,14 @@
 }
 
 // recordQuotaUse counts the cost of a granted request as used. It counts only once if the
-// request is granted several times.
-func (s *Shard) recordQuotaUse(now time.Time, q *request) {
-	if q.quotaCharged > 0 && !q.quotaCounted {
-		s.quotas.recordGrant(now, q.Account, q.Front, q.quotaCharged)
-		q.quotaCounted = true
+// request is granted several times. It returns the usage of all other fronts, 0 if nothing is counted.
+func (s *Shard) recordQuotaUse(now time.Time, q *request) float64 {
+	quota := s.quota(q.Account)
+	if q.quotaCharged <= 0 || q.quotaCounted || quota == nil {
+		return 0
 	}
+	q.quotaCounted = true
+	return s.quotas.recordGrant(now, q.Account, q.Front, q.quotaCharged, time.Duration(quota.Window))
 }
 
 // refundQuota returns the quota cost of a request that did not run.
--- a/internal/pool/shard/quota_test.go
+++ b/internal/pool/shard/quota_test.go
@@ -64,7 +64,7 @@
 	front := f.fronts[i%len(f.fronts)]
 	state, _ := f.quotas.admit(f.now, f.quota, quotaCharge{account: "a", cost: cost, share: 1})
 	if state == nil {
-		f.quotas.recordGrant(f.now, "a", front.id, cost)
+		f.quotas.recordGrant(f.now, "a", front.id, cost, 8*time.Second)
 		front.usage.Add(f.now, cost)
 		f.used += cost
 	}
--- a/internal/pool/shard/quotaused_test.go
+++ b/internal/pool/shard/quotaused_test.go
@@ -33,7 +33,7 @@
 			now := time.Unix(1000, 0)
 			q := NewQuotas()
 			q.AddReported(now, "front", wire.Used{AgeMS: 60000, StepMS: UsageStep.Milliseconds()})
-			q.recordGrant(now, "a", "front", cost)
+			q.recordGrant(now, "a", "front", cost, 8*time.Second)
 			now = now.Add(steps * UsageStep)
 			q.AddReported(now, "front", wire.Used{
 				AgeMS: 60000, StepMS: UsageStep.Milliseconds(), Accounts: []wire.AccountUsed{{Account: "a", Costs: row.costs}},
@@ -126,3 +126,66 @@
 		})
 	}
 }
+
+// TestFrontThatStaysHasUsedMoreThanItsShare moves three of four fronts to a new arbiter, while the
+// fourth one, of which the new arbiter has no record, has used more than a quarter of a quota. All four
+// together must stay inside the limit (soak seed 9013).
+func TestFrontThatStaysHasUsedMoreThanItsShare(t *testing.T) {
+	const window = 8 * time.Second
+	quota := &object.Quota{PerSecond: 10, Burst: 0, DefaultTokens: 1, Window: object.Duration(window)}
+	const limit = 80
+	rows := []struct {
+		name string
+		// stayed and moved are the usage of the front that stayed and of each of the three that moved.
+		stayed, moved int
+	}{
+		{"more than its share", 30, 5},
+		{"nearly everything", 70, 1},
+		{"its share", 20, 20},
+		{"nothing", 0, 10},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			former, next := NewQuotas(), NewQuotas()
+			uses := map[wire.HostID]*UsageWindow{}
+			others := map[wire.HostID]float64{}
+			grant := func(q *Quotas, front wire.HostID) {
+				others[front] = q.recordGrant(now, "x", front, 1, window)
+				uses[front].Add(now, 1)
+			}
+			fronts := []wire.HostID{"stays", "b", "c", "d"}
+			for _, front := range fronts {
+				uses[front] = NewUsageWindow(now)
+				former.AddReported(now, front, wire.Used{AgeMS: 60_000, StepMS: UsageStep.Milliseconds()})
+			}
+			for range row.stayed {
+				grant(former, "stays")
+			}
+			for range row.moved {
+				for _, front := range fronts[1:] {
+					now = now.Add(time.Millisecond)
+					grant(former, front)
+				}
+			}
+			now = now.Add(time.Second)
+			for _, front := range fronts[1:] {
+				next.AddReported(now, front, wire.Used{AgeMS: 60_000, StepMS: UsageStep.Milliseconds(), Accounts: []wire.AccountUsed{
+					{Account: "x", Costs: uses[front].Recent(now, MaxUsageWindow), Others: others[front], OthersAgeMS: 1000},
+				}})
+			}
+			next.servingSince, next.lastServedAt = now.Add(-time.Minute), now
+			granted := 0
+			for i := range 2 * limit {
+				now = now.Add(10 * time.Millisecond)
+				if state, _ := next.admit(now, quota, quotaCharge{account: "x", cost: 1, share: 0.75}); state == nil {
+					grant(next, fronts[1+i%3])
+					granted++
+				}
+			}
+			total := row.stayed + 3*row.moved + granted
+			require.LessOrEqual(t, total, limit)
+			require.GreaterOrEqual(t, total, min(limit*3/4, limit-3)+min(row.stayed, limit/4-3), "what is left of the quota can be used")
+		})
+	}
+}
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -47,7 +47,7 @@
 		q.tier.virtualFloor = q.account.virtualTokens
 		q.account.charge(q.estimatedTokens)
 		q.tier.reorderAccount(q.account)
-		s.recordQuotaUse(now, q)
+		othersUsed := s.recordQuotaUse(now, q)
 		s.countGrant(q)
 		s.demandOf(now, rank{class: q.tier.classPriority}).grantRate.record(now)
 		if s.rollout != nil && s.rollout.trial != nil {
@@ -57,7 +57,7 @@
 		s.takeRate(now, t)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
-		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt), t.rateLimit > 0})
+		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt), t.rateLimit > 0, othersUsed})
 	}
 }
 
--- a/internal/pool/shard/usagewindow.go
+++ b/internal/pool/shard/usagewindow.go
@@ -54,6 +54,20 @@
 	return sum
 }
 
+// SumBefore returns the usage in the window that ended at the given time, which may be in the past. It
+// includes all of the oldest and the newest step.
+func (w *UsageWindow) SumBefore(end time.Time, window time.Duration) float64 {
+	newest := int64(end.Sub(w.epoch) / UsageStep)
+	oldest := int64(end.Add(-window).Sub(w.epoch) / UsageStep)
+	sum := 0.0
+	for age := range min(int64(len(w.costs)), w.newest+1) {
+		if number := w.newest - age; number >= oldest && number <= newest {
+			sum += w.costAt(age)
+		}
+	}
+	return sum
+}
+
 // stepCount returns the number of steps that overlap with a window that ends now.
 func (w *UsageWindow) stepCount(window time.Duration) int64 {
 	return min(int64(window/UsageStep)+1, int64(len(w.costs)), w.newest+1)
