--- a/internal/fleet/notice/rate_test.go
+++ b/internal/fleet/notice/rate_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"redwinglock/internal/peer/wire"
 )
@@ -122,3 +123,64 @@
 		})
 	}
 }
+
+// FuzzParseRateLimit reads any text that a target may send as its rate limit.
+func FuzzParseRateLimit(f *testing.F) {
+	for _, text := range []string{"", "1.6", "0", "-1", "NaN", "+Inf", "1e300", "1e999", "2, 4", "0x1p-2", "1_000", ",,", " 3 ", "٣"} {
+		f.Add(text, text)
+	}
+	f.Fuzz(func(t *testing.T, first, second string) {
+		limit, known, err := ParseRateLimit([]string{first, second})
+		if !known {
+			require.Zero(t, limit)
+			require.Error(t, err)
+			return
+		}
+		require.GreaterOrEqual(t, limit, MinRateLimit)
+		require.LessOrEqual(t, limit, MaxRateLimit)
+	})
+}
+
+// TestGeneratedAnswersConverge delivers the answers of a target that changes its limit, in any order and
+// through several hosts that tell each other at any time. Once all are delivered, an answer to a later
+// request decides on all hosts.
+func TestGeneratedAnswersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		books := make([]*Book, 3)
+		now := int64(1_000_000)
+		pick := func(label string) int { return rapid.IntRange(0, len(books)-1).Draw(t, label) }
+		rate := func() wire.RequestRate {
+			return wire.RequestRate(rapid.SampledFrom([]float64{0, 0.3, 1.6, 12}).Draw(t, "rate"))
+		}
+		tell := func(from, to int) {
+			if n, found := books[from].Notice(time.UnixMilli(now), "t", 5); found {
+				books[to] = books[to].With(time.UnixMilli(now), n)
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += rapid.Int64Range(1, 500).Draw(t, "pause")
+			if rapid.Bool().Draw(t, "told") {
+				tell(pick("from"), pick("to"))
+				continue
+			}
+			host := pick("host")
+			sent := now - rapid.Int64Range(0, 3000).Draw(t, "duration")
+			books[host] = books[host].With(time.UnixMilli(now), named(rate(), sent, now, now))
+		}
+		last := rate()
+		sent := now + 1
+		now += 500
+		books[0] = books[0].With(time.UnixMilli(now), named(last, sent, now, now))
+		for host := range books {
+			tell(0, host)
+			require.Equal(t, last, books[host].State("t", 5).RateLimit)
+		}
+		for range 5 {
+			now += 100
+			from, to := pick("from"), pick("to")
+			before := books[to].State("t", 5)
+			tell(from, to)
+			require.Equal(t, before, books[to].State("t", 5), "all hosts agree")
+		}
+	})
+}
