--- a/internal/bench/decisions/ratelimits.go
+++ b/internal/bench/decisions/ratelimits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwinglock/internal/peer/wire"
+	"redwinglock/platform/standin"
 )
 
 // engineLimits are the rate limits that the first engines of a peak load name.
@@ -14,15 +15,6 @@
 	from, to  time.Duration
 }
 
-// The users' bound on the requests that reach a target with a rate limit: in each limitWindow from
-// limitContact after the limit was first named, limitFactor times what it allows and limitSlack more.
-const (
-	limitWindow  = 4 * time.Second
-	limitContact = 3 * time.Second
-	limitFactor  = 1.5
-	limitSlack   = 5
-)
-
 // halfLimited is half of the load of the dozen engines, of which half name a rate limit during the
 // surges.
 var halfLimited = &peakLoad{
@@ -62,14 +54,14 @@
 		}
 		most = max(most, pl.limits.mostSent(jobs))
 	}
-	return float64(most) / (limitFactor*float64(pl.limits.perSecond)*limitWindow.Seconds() + limitSlack), nil
+	return float64(most) / standin.RateLimitAllowed(float64(pl.limits.perSecond)), nil
 }
 
 // mostSent returns the highest number of jobs that were sent to one limited engine in a window.
 func (l *engineLimits) mostSent(jobs []*job) int {
 	byEngine := map[*engine][]time.Duration{}
 	for _, j := range jobs {
-		if j.engine != nil && l.limits(j.engine) && j.sent >= l.from+limitContact && j.sent < l.to {
+		if j.engine != nil && l.limits(j.engine) && j.sent >= l.from+standin.RateLimitContact && j.sent < l.to {
 			byEngine[j.engine] = append(byEngine[j.engine], j.sent)
 		}
 	}
@@ -78,7 +70,7 @@
 		slices.Sort(sent)
 		first := 0
 		for i, at := range sent {
-			for at-sent[first] > limitWindow {
+			for at-sent[first] > standin.RateLimitWindow {
 				first++
 			}
 			most = max(most, i-first+1)
--- a/internal/pool/shard/platform_test.go
+++ b/internal/pool/shard/platform_test.go
@@ -98,7 +98,7 @@
 	require.LessOrEqual(t, refused[0].RetryAfter, 1500*time.Millisecond, "the retry leaves time for an answer")
 }
 
-func TestShareBoundsSlotsAndQuota(t *testing.T) {
+func TestShareBoundsSlots(t *testing.T) {
 	b := newDiscoveredBench(t, 4, 10)
 	b.shard.SetShare(b.now, Share{Slots: 0.25, Quota: 0.25})
 	running := 0
@@ -110,6 +110,24 @@
 	require.Len(t, granted(b.shard.SetShare(b.now, Share{Slots: 1, Quota: 1})), 30)
 }
 
+// TestShareBoundsQuota sends requests of a metered account, which may use 900 in a window and be
+// granted three quarters of the tolerated excess of 190.
+func TestShareBoundsQuota(t *testing.T) {
+	const whole = 900 + 0.75*190
+	for _, share := range []float64{0.25, 0.5, 1} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			b := newDiscoveredBench(t, 4, 1000)
+			b.shard.SetShare(b.now, Share{Slots: 1, Quota: share})
+			used := 0.0
+			for range 2000 {
+				_, decisions := b.send("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 1 })
+				used += float64(len(granted(decisions)))
+			}
+			require.InDelta(t, share*whole, used, 1)
+		})
+	}
+}
+
 // TestLongAnswersGoToTargetsThatFinishInTime sends short and long requests to a slow idle target
 // and a fast busy one.
 func TestLongAnswersGoToTargetsThatFinishInTime(t *testing.T) {
