--- a/internal/pool/shard/quota.go
+++ b/internal/pool/shard/quota.go
@@ -250,13 +250,16 @@
 }
 
 // recordGrant counts an admitted request as used when it is granted. It returns the usage of all other
-// fronts in the window.
+// fronts in the window, 0 if the quota has none.
 func (q *Quotas) recordGrant(now time.Time, name object.AccountName, front wire.HostID, cost float64, window time.Duration) float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	usage := q.account(now, name)
 	usage.waitingCost -= cost
 	usage.addGrant(now, front, cost)
+	if window <= 0 {
+		return 0
+	}
 	return max(usage.granted.Sum(now, window)-usage.fronts[front].Sum(now, window), 0)
 }
 
@@ -351,12 +354,15 @@
 // recordQuotaUse counts the cost of a granted request as used. It counts only once if the
 // request is granted several times. It returns the usage of all other fronts, 0 if nothing is counted.
 func (s *Shard) recordQuotaUse(now time.Time, q *request) float64 {
-	quota := s.quota(q.Account)
-	if q.quotaCharged <= 0 || q.quotaCounted || quota == nil {
+	if q.quotaCharged <= 0 || q.quotaCounted {
 		return 0
 	}
 	q.quotaCounted = true
-	return s.quotas.recordGrant(now, q.Account, q.Front, q.quotaCharged, time.Duration(quota.Window))
+	var window time.Duration // 0 if the quota was removed after the admission.
+	if quota := s.quota(q.Account); quota != nil {
+		window = time.Duration(quota.Window)
+	}
+	return s.quotas.recordGrant(now, q.Account, q.Front, q.quotaCharged, window)
 }
 
 // refundQuota returns the quota cost of a request that did not run.
--- a/internal/pool/shard/quotaused_test.go
+++ b/internal/pool/shard/quotaused_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// TestQuotaIsRemovedWhileARequestWaits removes the quota of an account between the admission of a request
+// and its grant. The request must not count as waiting for good.
+func TestQuotaIsRemovedWhileARequestWaits(t *testing.T) {
+	b := newDiscoveredBench(t, 1, 1)
+	running, _ := b.send("first", nil)
+	_, decisions := b.send("first", func(r *wire.Register) { r.Account = "metered"; r.QuotaCost = 10 })
+	require.Empty(t, decisions)
+	usage := b.shard.quotas.account(b.now, "metered")
+	require.InDelta(t, 10, usage.waitingCost, 0)
+	b.shard.snapshot.Account("metered").Quota = nil
+	require.Len(t, granted(b.finish(running)), 1)
+	require.Zero(t, usage.waitingCost)
+}
+
 // TestFrontThatStaysHasUsedMoreThanItsShare moves three of four fronts to a new arbiter, while the
 // fourth one, of which the new arbiter has no record, has used more than a quarter of a quota. All four
 // together must stay inside the limit (soak seed 9013).
