entry/gateway: events whose lines end with a carriage return are forwarded as they arrive

What callers saw: a stream whose lines end with CR LF or CR was held back until its end, and was broken if it ended with its connection. Cause: only two line feeds counted as the end of an event. Comments no longer count as events, which the speed of a target is reckoned from. The rows of TestStreamCutAtAnyByteIsNotWhole for such lines fail without the change.

--- a/internal/entry/gateway/broken_test.go
+++ b/internal/entry/gateway/broken_test.go
@@ -64,7 +64,7 @@
 
 // TestStreamCutAtAnyByteIsNotWhole cuts streams at every byte, in every framing.
 func TestStreamCutAtAnyByteIsNotWhole(t *testing.T) {
-	rows := []struct{ name, lineEnd string }{{"line feeds", "\n"}}
+	rows := []struct{ name, lineEnd string }{{"line feeds", "\n"}, {"carriage returns and line feeds", "\r\n"}, {"carriage returns", "\r"}}
 	for _, row := range rows {
 		stream := strings.ReplaceAll(wholeStream(3), "\n", row.lineEnd)
 		eventLength := len(stream) / 3
--- a/internal/entry/gateway/events.go
+++ b/internal/entry/gateway/events.go
@@ -6,8 +6,12 @@
 	"strings"
 )
 
-// eventEnd ends an event of a stream of server-sent events.
-var eventEnd = []byte("\n\n")
+// eventEnds are the texts that end an event of a stream of server-sent events: an empty line, where a line ends
+// with a line feed, a carriage return or both.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+// maxEventEndBytes is the length of the longest of the eventEnds.
+const maxEventEndBytes = 3
 
 // maxEventBytes bounds an event of a stream. A longer event makes the answer invalid, as its
 // target may never send the end of it.
@@ -30,32 +34,65 @@
 // until the next call.
 func (s *eventSplitter) add(content []byte) ([]byte, error) {
 	// The bytes of earlier calls hold no end of an event, but their last byte may begin one.
-	searched := max(len(s.partial)-(len(eventEnd)-1), 0)
+	searched := max(len(s.partial)-(maxEventEndBytes-1), 0)
 	s.partial = append(s.partial, content...)
-	end := bytes.LastIndex(s.partial[searched:], eventEnd)
-	if end < 0 {
+	end := endOfLastEvent(s.partial[searched:])
+	if end == 0 {
 		if len(s.partial) > maxEventBytes {
 			s.partial = nil
 			return nil, errEventTooLong
 		}
 		return nil, nil
 	}
-	end += searched + len(eventEnd)
+	end += searched
 	complete := bytes.Clone(s.partial[:end])
 	s.partial = append(s.partial[:0], s.partial[end:]...)
 	s.recordEvents(complete)
 	return complete, nil
 }
 
-// recordEvents counts complete events and stores the last event id among them.
+// endOfLastEvent returns the length of the content up to the end of its last complete event, 0 if there is none.
+func endOfLastEvent(content []byte) int {
+	length := 0
+	for _, end := range eventEnds {
+		if n := bytes.LastIndex(content, end); n >= 0 {
+			length = max(length, n+len(end))
+		}
+	}
+	return length
+}
+
+var lineFeeds = strings.NewReplacer("\r\n", "\n", "\r", "\n")
+
+// recordEvents counts complete events and stores the last event id among them. Comments are no events.
 func (s *eventSplitter) recordEvents(events []byte) {
-	s.count += bytes.Count(events, eventEnd)
-	for line := range strings.Lines(string(events)) {
-		if id, found := strings.CutPrefix(line, "id:"); found {
-			s.lastID = strings.TrimSpace(id)
+	hasFields := false
+	for line := range strings.Lines(lineFeeds.Replace(string(events))) {
+		line = strings.TrimSuffix(line, "\n")
+		switch {
+		case line == "":
+			s.countEvent(hasFields)
+			hasFields = false
+		case line[0] != ':':
+			hasFields = true
+			s.recordField(line)
 		}
 	}
 }
 
+// countEvent counts the text up to an empty line if it is an event.
+func (s *eventSplitter) countEvent(hasFields bool) {
+	if hasFields {
+		s.count++
+	}
+}
+
+// recordField stores the id that a line of an event may hold.
+func (s *eventSplitter) recordField(line string) {
+	if id, found := strings.CutPrefix(line, "id:"); found {
+		s.lastID = strings.TrimSpace(id)
+	}
+}
+
 // reset discards an incomplete event before another target resumes the stream.
 func (s *eventSplitter) reset() { s.partial = s.partial[:0] }
--- a/internal/entry/gateway/streams_test.go
+++ b/internal/entry/gateway/streams_test.go
@@ -124,6 +124,8 @@
 		{"one event", []string{"id: 1\ndata: a\n\n"}, []string{"id: 1\ndata: a\n\n"}, "1"},
 		{"split event", []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, []string{"", "", "id: 1\ndata: a\n\n"}, "1"},
 		{"end in two parts", []string{"id: 1\n", "\n"}, []string{"", "id: 1\n\n"}, "1"},
+		{"end in three parts", []string{"id: 1\r\n", "\r", "\n"}, []string{"", "", "id: 1\r\n\r\n"}, "1"},
+		{"a comment", []string{"id: 1\n\n: ping\n\n"}, []string{"id: 1\n\n: ping\n\n"}, "1"},
 		{"two events in one chunk", []string{"id:1\n\nid:2\n\nid:3"}, []string{"id:1\n\nid:2\n\n"}, "2"},
 	}
 	for _, row := range rows {
