--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -46,14 +46,15 @@
 	return m.lastAt.Sub(m.firstAt) / time.Duration(tokens)
 }
 
-// copy forwards a target's answer to the caller. It returns an error if the answer ended early.
+// copy forwards a target's answer to the caller. It returns an error if the answer is not whole.
 func (a *answer) copy(response *http.Response) (streamStats, error) {
-	stream := a.request.route.Execution == object.Stream && response.StatusCode == http.StatusOK
-	if !stream {
+	if a.request.route.Execution != object.Stream || !isEventStream(response) {
 		return streamStats{}, a.copyPlain(response)
 	}
 	// This target sends again the event that the previous target sent only in part.
 	a.events.reset()
+	// Another target may continue the stream, so its length is not known.
+	response.Header.Del("Content-Length")
 	return a.copyStream(response)
 }
 
@@ -85,7 +86,7 @@
 // until then a failure can still be reported by the status.
 func (a *answer) copyStream(response *http.Response) (streamStats, error) {
 	var m streamStats
-	resumed := a.started
+	resumed := a.isResumed()
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -95,8 +96,8 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if a.endsInsideEvent(response, resumed, m) {
-				return m, errStreamBroken
+			if err := a.events.checkEnd(framingOf(response), m.events, resumed); err != nil {
+				return m, err
 			}
 			return m, a.end(response)
 		}
@@ -153,18 +154,9 @@
 	return nil
 }
 
-// errStreamBroken is returned if a stream has ended with its connection and is not complete.
-var errStreamBroken = errors.New("the stream ended inside an event")
-
-// endsInsideEvent reports whether a stream whose connection has ended is broken. Without a length or
-// chunks, only the end of an event shows that it is complete. A resumed stream consists of events only, so
-// the text of an error never becomes a part of it.
-func (a *answer) endsInsideEvent(response *http.Response, resumed bool, m streamStats) bool {
-	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if isFramed && !resumed {
-		return false
-	}
-	return len(a.events.partial) > 0 || !resumed && m.events == 0
+// isResumed reports whether the answer continues a stream after an event that the caller has.
+func (a *answer) isResumed() bool {
+	return a.events.lastID != "" || a.request.info.LastEventID != ""
 }
 
 // end forwards the bytes after the last event of a complete stream.
--- a/internal/entry/gateway/broken_test.go
+++ b/internal/entry/gateway/broken_test.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return "", err
 	}
+	gin.SetMode(gin.ReleaseMode)
 	recorder := httptest.NewRecorder()
 	c, _ := gin.CreateTestContext(recorder)
 	a := &answer{writer: c.Writer, request: &request{route: &object.Route{Execution: object.Stream}}}
--- a/internal/entry/gateway/events.go
+++ b/internal/entry/gateway/events.go
@@ -96,3 +96,16 @@
 
 // reset discards an incomplete event before another target resumes the stream.
 func (s *eventSplitter) reset() { s.partial = s.partial[:0] }
+
+// isInsideEvent reports whether the bytes after the last event begin another one. Whole comments and empty lines
+// do not.
+func (s *eventSplitter) isInsideEvent() bool {
+	text := lineFeeds.Replace(string(s.partial))
+	for line := range strings.Lines(text) {
+		isBetweenEvents := line == "\n" || strings.HasPrefix(line, ":") && strings.HasSuffix(line, "\n")
+		if !isBetweenEvents {
+			return true
+		}
+	}
+	return false
+}
