entry/gateway: a broken answer is reset for callers that know its end by their connection

What callers saw: a caller of HTTP/1.0 gets no chunks, so the orderly close after a broken stream, or after a broken plain answer of over 64 KiB, was the end of a whole one. Class of fault: the host knows that an answer is broken, but ends it in a way that its caller cannot tell from a whole one. Change: while such a caller waits, its connection is reset on close, also by the end of the process; the usual close is set when the answer is whole.

--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -197,6 +197,7 @@
 func newCallerServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		ConnContext:       gateway.WithConnection,
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxCallerHeaderBytes,
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -148,6 +148,7 @@
 		c.Header("Connection", "close")
 	}
 	r := &request{arrived: time.Now(), id: s.newID()}
+	s.setLinger(c.Request, lingerReset)
 	err := s.read(c, r)
 	if err == nil {
 		err = s.forward(c, r)
@@ -155,6 +156,7 @@
 	if err != nil {
 		s.fail(c, r, err)
 	}
+	s.setLinger(c.Request, lingerDefault)
 }
 
 func (s *Server) newID() wire.RequestID {
@@ -285,8 +287,8 @@
 	return r.route.Tier
 }
 
-// fail answers a request with its failure. If a part of an answer has already been sent, it closes
-// the connection instead, so that the caller cannot mistake the part for a complete answer.
+// fail answers a request with its failure. If a part of an answer has already been sent, it panics, which
+// closes the connection, so that the caller cannot mistake the part for a complete answer.
 func (s *Server) fail(c *gin.Context, r *request, err error) {
 	failure := outcome.FailureOf(err)
 	s.common.CountRefusal(failure.Reason)
--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -127,7 +127,9 @@
 	arbiters := arbiter.New(c, s.board, frontServer, http2.New(time.Second, nil))
 	clients := passthrough.New()
 	s.server = New(c, s.board, arbiters, clients, testDialect{})
-	server := httptest.NewServer(s.server.Handler())
+	server := httptest.NewUnstartedServer(s.server.Handler())
+	server.Config.ConnContext = WithConnection
+	server.Start()
 	s.url = server.URL
 	t.Cleanup(func() {
 		server.Close()
