--- a/internal/entry/gateway/broken_test.go
+++ b/internal/entry/gateway/broken_test.go
@@ -38,6 +38,10 @@
 
 // copyMessage lets an answer copy a raw message that ends with end, and returns what the caller has received.
 func copyMessage(message string, end error, lastID string) (string, error) {
+	return copyMessageOf(object.Stream, message, end, lastID)
+}
+
+func copyMessageOf(execution object.Execution, message string, end error, lastID string) (string, error) {
 	reader := io.MultiReader(strings.NewReader(message), failingReader{end})
 	response, err := http.ReadResponse(bufio.NewReader(reader), httptest.NewRequest(http.MethodPost, "/", nil))
 	if err != nil {
@@ -46,7 +50,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	recorder := httptest.NewRecorder()
 	c, _ := gin.CreateTestContext(recorder)
-	a := &answer{writer: c.Writer, request: &request{route: &object.Route{Execution: object.Stream}}}
+	a := &answer{writer: c.Writer, request: &request{route: &object.Route{Execution: execution}}}
 	a.events.lastID = lastID
 	_, err = a.copy(response)
 	return recorder.Body.String(), err
@@ -100,6 +104,39 @@
 	}
 }
 
+// TestPlainAnswerCutAtAnyByteIsNotWhole cuts plain answers at every byte of their head and their body.
+func TestPlainAnswerCutAtAnyByteIsNotWhole(t *testing.T) {
+	rows := []struct {
+		name string
+		size int
+		step int
+	}{{"small", 40, 1}, {"larger than what is buffered", maxBufferedBytes + 9000, 1777}}
+	for _, row := range rows {
+		content := strings.Repeat("x", row.size)
+		for _, by := range framings {
+			whole := framedMessage(by, "application/json", content)
+			head := len(whole) - len(content)
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, end by %s, reset %t", row.name, by, reset), func(t *testing.T) {
+					var end error
+					if reset {
+						end = net.ErrClosed
+					}
+					for cut := 0; cut < len(whole); cut += row.step {
+						body, err := copyMessageOf(object.NonIdempotent, whole[:cut], end, "")
+						if by == framedByConnection && !reset && cut >= head {
+							require.NoError(t, err, "its end is that of its connection")
+							require.Len(t, body, cut-head)
+							continue
+						}
+						require.Error(t, err, "cut after %d of %d bytes", cut, len(whole))
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestStreamThatEndsInsideAnEventInAWholeFrameIsBroken ends streams at every byte in a frame that says that it is
 // complete.
 func TestStreamThatEndsInsideAnEventInAWholeFrameIsBroken(t *testing.T) {
@@ -231,3 +268,28 @@
 		}
 	}
 }
+
+// TestAnswerCutInItsHeadIsNoSuccess closes connections in the middle of the head of an answer.
+func TestAnswerCutInItsHeadIsNoSuccess(t *testing.T) {
+	for _, by := range framings {
+		message := framedMessage(by, "text/event-stream", wholeStream(2))
+		head := strings.Index(message, "\r\n\r\n") + len("\r\n\r\n")
+		for cut := 1; cut < head; cut += 11 {
+			for _, path := range []string{"/write/x", "/fixed/x"} {
+				t.Run(fmt.Sprintf("end by %s, %s, after %d bytes", by, path, cut), func(t *testing.T) {
+					s := newSite(t, func(w http.ResponseWriter, _ *http.Request) {
+						connection, _, err := http.NewResponseController(w).Hijack()
+						if err != nil {
+							panic(err)
+						}
+						defer connection.Close()
+						_, _ = io.WriteString(connection, message[:cut])
+					})
+					got := s.send("POST", path, "body")
+					require.NoError(t, got.err)
+					require.Equal(t, http.StatusBadGateway, got.status)
+				})
+			}
+		}
+	}
+}
