--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -294,7 +294,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if revision < d.revision {
-		return // A peer has sent newer changes in the meantime.
+		// A peer has sent newer changes in the meantime.
+		d.common.Metrics.Counter("store_lists_ignored").Inc(1)
+		d.log.WithFields(logrus.Fields{"store-revision": d.revision, "listed": revision}).Warn("List of the store ignored, because it is older than the state of this host.")
+		return
 	}
 	d.setRevision(revision)
 	d.applyList(items)
