--- a/internal/control/catalog/state.go
+++ b/internal/control/catalog/state.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/object"
 )
 
@@ -21,7 +22,7 @@
 	// Chunks holds the content of each chunk by name.
 	Chunks map[string]json.RawMessage `json:"chunks"`
 
-	modRevision int64
+	modRevision store.Position
 	// delta is the last change, if this process made it.
 	delta delta
 }
--- a/internal/control/discovery/cache.go
+++ b/internal/control/discovery/cache.go
@@ -13,14 +13,14 @@
 // concurrent use.
 type itemCache struct {
 	items   map[string]store.Item
-	deleted map[string]int64 // Revision of the deletion.
-	// deletionsFrom is the revision from which deletions are complete. A peer at an older
-	// revision needs all items.
-	deletionsFrom int64
+	deleted map[string]store.Position // Position of the deletion.
+	// deletionsFrom is the position from which deletions are complete. A peer at an older
+	// position needs all items.
+	deletionsFrom store.Position
 }
 
 func newItemCache() *itemCache {
-	return &itemCache{items: map[string]store.Item{}, deleted: map[string]int64{}}
+	return &itemCache{items: map[string]store.Item{}, deleted: map[string]store.Position{}}
 }
 
 // put stores an item and reports whether its data has changed.
@@ -32,32 +32,45 @@
 }
 
 // remove records a deletion.
-func (c *itemCache) remove(key string, revision int64) {
+func (c *itemCache) remove(key string, at store.Position) {
 	delete(c.items, key)
 	if len(c.deleted) == maxDeletions {
 		clear(c.deleted)
-		c.deletionsFrom = revision
+		c.deletionsFrom = at
 	}
-	c.deleted[key] = revision
+	c.deleted[key] = at
 }
 
-// revision returns the revision of the last stored change of a key, or 0 if there is none.
-func (c *itemCache) revision(key string) int64 { return max(c.items[key].Revision, c.deleted[key]) }
+// position returns the position of the last stored change of a key, or 0 if there is none.
+func (c *itemCache) position(key string) store.Position {
+	return max(c.items[key].Position, c.deleted[key])
+}
+
+// all returns all items.
+func (c *itemCache) all() []store.Item {
+	items := make([]store.Item, 0, len(c.items))
+	for _, i := range c.items {
+		items = append(items, i)
+	}
+	return items
+}
 
-// changesAfter returns the changes after a revision and true. If the stored deletions do not
-// reach back to that revision, it returns all items and false.
-func (c *itemCache) changesAfter(revision int64) ([]store.Item, bool) {
-	partial := revision > 0 && revision >= c.deletionsFrom
+// changesAfter returns the changes after a position and true. If the stored deletions do not
+// reach back to that position, it returns all items and false.
+func (c *itemCache) changesAfter(after store.Position) ([]store.Item, bool) {
+	if after == 0 || after < c.deletionsFrom {
+		return c.all(), false
+	}
 	items := []store.Item{}
 	for _, i := range c.items {
-		if !partial || i.Revision > revision {
+		if i.Position > after {
 			items = append(items, i)
 		}
 	}
 	for key, at := range c.deleted {
-		if partial && at > revision {
-			items = append(items, store.Item{Key: key, Revision: at, Deleted: true})
+		if at > after {
+			items = append(items, store.Item{Key: key, Position: at, Deleted: true})
 		}
 	}
-	return items, partial
+	return items, true
 }
--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -4,6 +4,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"strings"
@@ -75,10 +76,10 @@
 	newerPeers chan newerPeer
 
 	mu sync.Mutex
-	// revision is the store revision up to which changes were applied, whether they came from
+	// position is the position in the store up to which changes were applied, whether they came from
 	// the store or from a peer. It is 0 until the store has been listed.
-	revision int64
-	// confirmedAt is when the store last confirmed, directly or through a peer, that revision
+	position store.Position
+	// confirmedAt is when the store last confirmed, directly or through a peer, that position
 	// is the newest. Nothing is published before the first confirmation, because the initial
 	// list may be older than the state that other hosts have already used.
 	confirmedAt time.Time
@@ -93,7 +94,10 @@
 	// targetVanished wakes the expiry loop after an addition to removeAt.
 	targetVanished chan struct{}
 	targetRevision object.Revision
-	// listRequired is set when the history after revision was compacted.
+	// refused is the latest configuration that is invalid as a whole.
+	refused object.Revision
+	restore restoreState
+	// listRequired is set when the history after position was compacted, or is that of another era.
 	listRequired bool
 	// lastOutageAt is when a store call last failed, here or at a peer, without a recent
 	// confirmation through peers.
@@ -118,6 +122,7 @@
 		targets:        map[string]*object.Target{},
 		rollouts:       newRollouts(),
 		removeAt:       map[string]time.Time{},
+		restore:        restoreState{heldBack: map[string]store.Position{}},
 		targetVanished: make(chan struct{}, 1),
 		startedAt:      time.Now(),
 		stop:           stop,
@@ -149,14 +154,14 @@
 		}
 		if err == nil {
 			if !available {
-				d.log.WithField("store-revision", d.currentRevision()).Info("Store available again.")
+				d.log.WithField("store-position", d.currentPosition().String()).Info("Store available again.")
 			}
 			available = true
 			retry = minRetryDelay
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
-			d.log.WithField("store-revision", d.currentRevision()).Warn("Store history was compacted; the store is listed again.")
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
+			d.log.WithError(err).WithField("store-position", d.currentPosition().String()).Warn("Store history is not available; the store is listed again.")
 			d.requireList()
 			sleep(ctx, minRetryDelay)
 			continue
@@ -174,11 +179,11 @@
 
 // readStore makes one call to the store and applies the result.
 func (d *Controller) readStore(ctx context.Context) error {
-	revision := d.currentRevision()
-	if revision == 0 {
+	position := d.currentPosition()
+	if position == 0 {
 		return d.readInitialList(ctx)
 	}
-	if d.consumeListRequired() {
+	if d.consumeListRequired(time.Now()) {
 		items, listed, err := d.tree.List(ctx, "")
 		if err != nil {
 			return err
@@ -186,15 +191,11 @@
 		d.replaceAll(items, listed)
 		return nil
 	}
-	wait := watchTimeout
-	if !d.isConfirmed() {
-		wait = confirmTimeout
-	}
-	items, next, err := d.tree.WatchChanges(ctx, "", revision, wait)
+	items, next, err := d.tree.WatchChanges(ctx, "", position, d.watchWait(time.Now()))
 	if err != nil {
 		return err
 	}
-	d.applyChangesAfter(items, revision, next)
+	d.applyChangesAfter(items, position, next)
 	if len(items) > 0 {
 		sleep(ctx, batchDelay)
 	}
@@ -210,36 +211,42 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.revision >= listed {
+	if d.position >= listed {
 		return nil // A peer has sent newer changes in the meantime.
 	}
-	d.setRevision(listed)
+	d.setPosition(listed)
 	d.applyList(items)
 	return nil
 }
 
-// isConfirmed reports whether a revision has been confirmed as the newest at least once.
-func (d *Controller) isConfirmed() bool {
+// watchWait returns how long a watch call waits for changes.
+func (d *Controller) watchWait(now time.Time) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.confirmedAt.IsZero()
+	if d.confirmedAt.IsZero() {
+		return confirmTimeout
+	}
+	return max(min(watchTimeout, d.restore.timeUntilList(now)), confirmTimeout)
 }
 
-// currentRevision returns the applied store revision, or 0 if the store has not been listed.
-func (d *Controller) currentRevision() int64 {
+// currentPosition returns the applied position in the store, or 0 if the store has not been listed.
+func (d *Controller) currentPosition() store.Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.revision
+	return d.position
 }
 
-// setRevision stores the applied revision. The caller must hold d.mu.
-func (d *Controller) setRevision(revision int64) {
-	d.revision = revision
+// setPosition stores the applied position. The caller must hold d.mu.
+func (d *Controller) setPosition(position store.Position) {
+	if d.position != 0 && d.position.Era() != position.Era() {
+		d.recordRestore(time.Now(), position)
+	}
+	d.position = position
 	d.publishStoreState()
 }
 
-// setConfirmed records that the current revision was the newest at the given time. The caller
-// must hold d.mu and must have applied all changes up to that revision.
+// setConfirmed records that the current position was the newest at the given time. The caller
+// must hold d.mu and must have applied all changes up to that position.
 func (d *Controller) setConfirmed(at time.Time) {
 	isFirst := d.confirmedAt.IsZero()
 	d.confirmedAt = at
@@ -249,19 +256,19 @@
 	}
 }
 
-// publishStoreState puts the applied revision on the board unless no revision has been confirmed
+// publishStoreState puts the applied position on the board unless no position has been confirmed
 // yet. The caller must hold d.mu.
 func (d *Controller) publishStoreState() {
 	if !d.confirmedAt.IsZero() {
-		d.board.SetStoreState(board.StoreState{Revision: d.revision, ConfirmedAt: d.confirmedAt})
+		d.board.SetStoreState(board.StoreState{Position: d.position, ConfirmedAt: d.confirmedAt})
 	}
 }
 
-// consumeListRequired returns listRequired and resets it.
-func (d *Controller) consumeListRequired() bool {
+// consumeListRequired reports whether the store must be listed now, and resets that.
+func (d *Controller) consumeListRequired(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	required := d.listRequired
+	required := d.listRequired || d.restore.consumeListDue(now)
 	d.listRequired = false
 	return required
 }
@@ -289,17 +296,17 @@
 	}
 }
 
-// replaceAll applies a consistent list of the whole store and confirms its revision.
-func (d *Controller) replaceAll(items []store.Item, revision int64) {
+// replaceAll applies a consistent list of the whole store and confirms its position.
+func (d *Controller) replaceAll(items []store.Item, listed store.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if revision < d.revision {
+	if listed < d.position {
 		// A peer has sent newer changes in the meantime.
 		d.common.Metrics.Counter("store_lists_ignored").Inc(1)
-		d.log.WithFields(logrus.Fields{"store-revision": d.revision, "listed": revision}).Warn("List of the store ignored, because it is older than the state of this host.")
+		d.log.WithFields(logrus.Fields{"store-position": d.position.String(), "listed": listed.String()}).Warn("List of the store ignored, because it is older than the state of this host.")
 		return
 	}
-	d.setRevision(revision)
+	d.setPosition(listed)
 	d.applyList(items)
 	d.setConfirmed(time.Now())
 }
@@ -311,27 +318,30 @@
 	changed := false
 	for _, i := range items {
 		listed[i.Key] = true
-		changed = d.applyItem(i) || changed
+		if !d.holdsBack(time.Now(), i) {
+			changed = d.applyItem(i) || changed
+		}
 	}
 	for key := range d.cache.items {
 		if !listed[key] {
-			changed = d.applyItem(store.Item{Key: key, Revision: d.revision, Deleted: true}) || changed
+			changed = d.applyItem(store.Item{Key: key, Position: d.position, Deleted: true}) || changed
 		}
 	}
+	d.restore.keepOnly(listed)
 	if changed {
 		d.publish()
 	}
 }
 
-// applyChangesAfter applies the changes between two revisions in order. It ignores them if the
+// applyChangesAfter applies the changes between two positions in order. It ignores them if the
 // changes of a peer were applied while the call to the store was in progress.
-func (d *Controller) applyChangesAfter(items []store.Item, after, next int64) {
+func (d *Controller) applyChangesAfter(items []store.Item, after, next store.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.revision != after {
+	if d.position != after {
 		return
 	}
-	d.setRevision(next)
+	d.setPosition(next)
 	d.applyChanges(items)
 	d.setConfirmed(time.Now())
 }
@@ -349,12 +359,16 @@
 
 // applyItem applies one item and reports whether the board must be updated.
 func (d *Controller) applyItem(i store.Item) bool {
-	if i.Revision < d.cache.revision(i.Key) {
+	known := d.cache.position(i.Key)
+	if i.Key == d.translator.ConfigKey() {
+		isOutdated := i.Position < known && i.Position.Era() == known.Era()
+		return !i.Deleted && !isOutdated && d.applyConfig(i)
+	}
+	if i.Position < known {
 		return false
 	}
+	delete(d.restore.heldBack, i.Key)
 	switch {
-	case i.Key == d.translator.ConfigKey():
-		return !i.Deleted && d.applyConfig(i)
 	case strings.HasPrefix(i.Key, d.translator.TargetsPrefix()):
 		return d.applyTarget(i)
 	case strings.HasPrefix(i.Key, d.translator.RolloutsPrefix()):
@@ -367,9 +381,11 @@
 	return false
 }
 
-// applyConfig makes a configuration the active one if it is newer and valid as a whole.
+// applyConfig makes a configuration the active one if it is newer and valid as a whole. Its own revision decides, not
+// its position: a store that was restored may hold an older one.
 func (d *Controller) applyConfig(i store.Item) bool {
-	if !d.cache.put(i) {
+	if bytes.Equal(i.Data, d.cache.items[i.Key].Data) {
+		d.cache.put(i)
 		return false
 	}
 	revision, objects, err := d.translator.Config(i.Data)
@@ -378,17 +394,19 @@
 		snapshot, err = object.Compile(revision, "", objects)
 	}
 	if err != nil {
+		d.refused = max(d.refused, revision)
 		d.common.Metrics.Counter("config_refused").Inc(1)
 		d.log.WithError(err).WithField("revision", revision).Error("Configuration rejected; the previous one stays active.")
 		return false
 	}
 	if d.base != nil && d.base.Revision >= revision {
-		d.log.WithFields(logrus.Fields{"revision": revision, "in-force": d.base.Revision}).Warn("Older configuration ignored.")
+		d.log.WithFields(logrus.Fields{"revision": revision, "in-force": d.base.Revision, "store-position": i.Position.String()}).Warn("Older configuration ignored.")
 		return false
 	}
+	d.cache.put(i)
 	d.base = snapshot
 	d.common.Metrics.Gauge("config_revision").Update(float64(revision))
-	d.log.WithFields(logrus.Fields{"revision": revision, "store-revision": i.Revision}).Info("Configuration in force.")
+	d.log.WithFields(logrus.Fields{"revision": revision, "store-position": i.Position.String()}).Info("Configuration in force.")
 	return true
 }
 
--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -116,7 +116,7 @@
 func TestOnlyItemsOfANewerPeerAreApplied(t *testing.T) {
 	rows := []struct {
 		name     string
-		revision int64
+		position store.Position
 		want     object.Revision
 	}{
 		{"newer revision", 100, 8},
@@ -127,9 +127,9 @@
 			runWithController(t, func(t *testing.T, f *fixture) {
 				f.tree.fail(errors.New("cut off"))
 				waitForBatch()
-				f.d.applyPeerItems(Items{Revision: row.revision, Items: []store.Item{
-					{Key: "config", Data: []byte("8"), Revision: row.revision},
-					{Key: "targets/i-1", Data: []byte(readyTarget), Revision: row.revision},
+				f.d.applyPeerItems(Items{Revision: row.position.Revision(), Items: []store.Item{
+					{Key: "config", Data: []byte("8"), Position: row.position},
+					{Key: "targets/i-1", Data: []byte(readyTarget), Position: row.position},
 				}}, "http://peer")
 				require.Equal(t, row.want, f.revision())
 			})
@@ -144,11 +144,11 @@
 	runWithController(t, func(t *testing.T, f *fixture) {
 		f.tree.fail(errors.New("cut off"))
 		for range 20 {
-			f.d.HandlePeerState(member.PeerState{StoreRevision: f.d.currentRevision(), StoreAge: time.Second}, "http://peer")
+			f.d.HandlePeerState(member.PeerState{StorePosition: f.d.currentPosition(), StoreAge: time.Second}, "http://peer")
 			time.Sleep(500 * time.Millisecond)
 		}
-		revision := f.d.currentRevision() + 1
-		f.d.applyPeerItems(Items{Revision: revision, Partial: true, Items: []store.Item{{Key: "targets/i-1", Revision: revision, Deleted: true}}}, "http://peer")
+		position := f.d.currentPosition() + 1
+		f.d.applyPeerItems(Items{Revision: position.Revision(), Partial: true, Items: []store.Item{{Key: "targets/i-1", Position: position, Deleted: true}}}, "http://peer")
 		require.Empty(t, f.targets())
 	})
 }
@@ -173,10 +173,10 @@
 // seen a store outage. The host must keep the target as if it had seen the outage itself.
 func TestTargetDeletedInAnOutageOfAPeerIsKeptForAGracePeriod(t *testing.T) {
 	runWithController(t, func(t *testing.T, f *fixture) {
-		revision := f.d.currentRevision() + 50
+		position := f.d.currentPosition() + 50
 		f.d.applyPeerItems(Items{
-			Revision: revision, Partial: true, OutageAgeMS: 500,
-			Items: []store.Item{{Key: "targets/i-1", Revision: revision, Deleted: true}},
+			Revision: position.Revision(), Partial: true, OutageAgeMS: 500,
+			Items: []store.Item{{Key: "targets/i-1", Position: position, Deleted: true}},
 		}, "http://peer")
 		require.Equal(t, []object.TargetName{"i-1"}, f.targets())
 		time.Sleep(expiryGrace + settleDelay)
@@ -198,7 +198,7 @@
 		time.Sleep(watchTimeout + time.Second) // The running watch call ends.
 		before := f.tree.watchCount()
 		for range 30 {
-			f.d.HandlePeerState(member.PeerState{StoreRevision: f.d.currentRevision(), StoreAge: time.Second}, "http://peer")
+			f.d.HandlePeerState(member.PeerState{StorePosition: f.d.currentPosition(), StoreAge: time.Second}, "http://peer")
 			time.Sleep(time.Second)
 		}
 		require.Equal(t, before, f.tree.watchCount())
@@ -233,19 +233,19 @@
 // changes of a peer. The older change must not restore a target that has been deleted since.
 func TestStoreChangesOlderThanThoseOfAPeerAreIgnored(t *testing.T) {
 	runWithController(t, func(t *testing.T, f *fixture) {
-		before := f.d.currentRevision()
-		f.d.applyPeerItems(Items{Revision: before + 50, Items: []store.Item{{Key: "config", Data: []byte("1"), Revision: before}}}, "http://peer")
+		before := f.d.currentPosition()
+		f.d.applyPeerItems(Items{Revision: (before + 50).Revision(), Items: []store.Item{{Key: "config", Data: []byte("1"), Position: before}}}, "http://peer")
 		time.Sleep(expiryGrace + settleDelay)
 		require.Empty(t, f.targets())
-		f.d.applyChangesAfter([]store.Item{{Key: "targets/i-1", Data: []byte(readyTarget), Revision: before + 1}}, before, before+1)
+		f.d.applyChangesAfter([]store.Item{{Key: "targets/i-1", Data: []byte(readyTarget), Position: before + 1}}, before, before+1)
 		require.Empty(t, f.targets(), "the target has been deleted since")
 	})
 }
 
 func TestItemsReturnsAllOrTheRequestedChanges(t *testing.T) {
 	runWithController(t, func(t *testing.T, f *fixture) {
-		all := f.d.Items("")
-		require.Equal(t, f.board.Store().Revision, all.Revision)
+		all := f.d.Items("", "")
+		require.Equal(t, f.board.Store().Position.Revision(), all.Revision)
 		require.False(t, all.Partial)
 		require.Len(t, all.Items, 2)
 		before := strconv.FormatInt(all.Revision, 10)
@@ -253,7 +253,7 @@
 		f.tree.remove("targets/i-1")
 		waitForBatch()
 		synctest.Wait()
-		changes := f.d.Items(before)
+		changes := f.d.Items(before, "")
 		require.True(t, changes.Partial)
 		require.Len(t, changes.Items, 2)
 	})
--- a/internal/control/discovery/heldprefixes.go
+++ b/internal/control/discovery/heldprefixes.go
@@ -23,7 +23,7 @@
 func (d *Controller) applyHeldPrefixes(i store.Item) {
 	pool := object.PoolName(strings.TrimPrefix(i.Key, heldPrefixesPrefix))
 	if i.Deleted {
-		d.cache.remove(i.Key, i.Revision)
+		d.cache.remove(i.Key, i.Position)
 		d.board.SetPrefixRecord(pool, board.PrefixRecord{})
 		return
 	}
@@ -37,7 +37,7 @@
 	for _, n := range held {
 		d.board.RecordPrefix(time.Now(), n)
 	}
-	d.board.SetPrefixRecord(pool, board.PrefixRecord{Revision: i.Revision, Held: held})
+	d.board.SetPrefixRecord(pool, board.PrefixRecord{Position: i.Position, Held: held})
 }
 
 // DecodeHeldPrefixes returns the held prompt prefixes in the record of a pool.
--- a/internal/control/discovery/heldprefixes_test.go
+++ b/internal/control/discovery/heldprefixes_test.go
@@ -17,7 +17,7 @@
 		waitForBatch()
 		require.True(t, f.board.Prefixes().IsHeld(time.Now(), "p", prefixes))
 		require.Len(t, f.board.PrefixRecord("p").Held, 1)
-		require.NotZero(t, f.board.PrefixRecord("p").Revision)
+		require.NotZero(t, f.board.PrefixRecord("p").Position)
 		f.tree.set(HeldPrefixesKey("p"), `broken`)
 		waitForBatch()
 		require.True(t, f.board.Prefixes().IsHeld(time.Now(), "p", prefixes), "only a notice releases a prefix")
--- a/internal/control/discovery/hosts.go
+++ b/internal/control/discovery/hosts.go
@@ -63,7 +63,9 @@
 	// lastList is the list that this host last found in the store or wrote.
 	lastList  []board.Member
 	checkedAt time.Time
-	writtenAt time.Time
+	// checkedEra is the era of the store in which the list was last compared.
+	checkedEra store.Era
+	writtenAt  time.Time
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -105,7 +107,7 @@
 
 // removeSelf removes this host from the stored list.
 func (l *HostList) removeSelf(ctx context.Context, self board.Member) error {
-	listed, revision, err := l.read(ctx)
+	listed, position, err := l.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -113,7 +115,7 @@
 	if len(desired) == len(listed) {
 		return nil
 	}
-	return l.write(ctx, desired, revision)
+	return l.write(ctx, desired, position)
 }
 
 // List implements member.Lister with the hosts of all availability zones.
@@ -173,7 +175,7 @@
 	case !isAlone && !isListWriter(members):
 		l.lastList = nil // Another host may write the list in the meantime.
 		return nil
-	case slices.Equal(l.lastList, zoneHosts(members)) && now.Sub(l.checkedAt) < recheckInterval:
+	case slices.Equal(l.lastList, zoneHosts(members)) && now.Sub(l.checkedAt) < recheckInterval && l.checkedEra == l.board.Store().Position.Era():
 		return nil
 	}
 	return l.compareAndWrite(ctx, now, members, isAlone)
@@ -181,7 +183,8 @@
 
 // compareAndWrite compares the stored list with the live hosts and writes it if they differ.
 func (l *HostList) compareAndWrite(ctx context.Context, now time.Time, members *board.Members, isAlone bool) error {
-	listed, revision, err := l.read(ctx)
+	era := l.board.Store().Position.Era()
+	listed, position, err := l.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -190,18 +193,18 @@
 		// A host that reaches no other host must not remove the others from the list.
 		desired = withHost(listed, members.Self)
 	}
-	l.checkedAt = now
+	l.checkedAt, l.checkedEra = now, era
 	if slices.Equal(listed, desired) {
 		l.lastList = desired
 		return nil
 	}
 	l.writtenAt = now
-	return l.write(ctx, desired, revision)
+	return l.write(ctx, desired, position)
 }
 
-// write replaces the stored list unless it has changed since the given revision.
-func (l *HostList) write(ctx context.Context, desired []board.Member, revision int64) error {
-	t := store.Transaction{Compares: []store.Compare{{Key: l.key, ModRevision: revision}}}
+// write replaces the stored list unless it has changed since the given position.
+func (l *HostList) write(ctx context.Context, desired []board.Member, position store.Position) error {
+	t := store.Transaction{Compares: []store.Compare{{Key: l.key, ModRevision: position}}}
 	if len(desired) == 0 {
 		t.Deletes = []string{l.key}
 	} else {
@@ -222,15 +225,15 @@
 	return nil
 }
 
-// read returns the stored list of the own zone and the revision of its item.
-func (l *HostList) read(ctx context.Context) ([]board.Member, int64, error) {
+// read returns the stored list of the own zone and the position of its item.
+func (l *HostList) read(ctx context.Context) ([]board.Member, store.Position, error) {
 	items, _, err := l.tree.List(ctx, l.key)
 	if err != nil {
 		return nil, 0, fmt.Errorf("read list of hosts: %w", err)
 	}
 	for _, i := range items {
 		if i.Key == l.key {
-			return l.decode(i), i.Revision, nil
+			return l.decode(i), i.Position, nil
 		}
 	}
 	return nil, 0, nil
--- a/internal/control/discovery/hosts_test.go
+++ b/internal/control/discovery/hosts_test.go
@@ -12,6 +12,7 @@
 
 	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/platform/hosts"
+	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
 	"redwinglock/internal/state/object"
@@ -56,7 +57,7 @@
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		require.Len(t, listedNames(t, lists[0]), 6)
-		require.Equal(t, int64(2), tree.current(), "written once")
+		require.Equal(t, store.Position(2), tree.current(), "written once")
 		for _, l := range lists {
 			require.NoError(t, l.Close())
 		}
@@ -153,7 +154,7 @@
 		f.d = New(common.Discard(), f.board, tree, testTranslator{}, http2.New(time.Second, nil))
 		synctest.Wait()
 		require.Nil(t, f.board.Config(), "nothing is confirmed yet")
-		require.Zero(t, f.board.Store().Revision)
+		require.Zero(t, f.board.Store().Position)
 		select {
 		case <-seen:
 			require.Fail(t, "the board has changed")
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"redwinglock/internal/control/member"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/platform/store"
+	"redwinglock/internal/state/object"
 )
 
 const (
@@ -31,66 +33,103 @@
 	peerTimeout = 500 * time.Millisecond
 	// maxItemsBytes bounds the size of a response from a peer.
 	maxItemsBytes = 32 << 20
-	// sinceParameter is the query parameter for the revision after which changes are requested.
+	// sinceParameter and eraParameter are the query parameters for the revision, and its era, after which changes are
+	// requested. Earlier builds send no era.
 	sinceParameter = "since"
+	eraParameter   = "era"
 )
 
 // Items is the state of the store, or its latest changes, as one host sends it to another.
 type Items struct {
-	// Revision is the store revision up to which the host has applied changes.
-	Revision int64 `json:"revision"`
+	// Era and Revision are the position in the store up to which the host has applied changes.
+	Era      store.Era `json:"era,omitempty"`
+	Revision int64     `json:"revision"`
 	// Partial is set if Items contains only the changes since the requested revision.
 	Partial bool `json:"partial"`
 	// OutageAgeMS is the time since the last store outage that the host has seen, 0 if there was
 	// none. The owner of a target entry that expired around that time may write it again.
 	OutageAgeMS int64 `json:"trouble-age-ms,omitempty"`
-	// ConfirmedAgeMS is the time since Revision was confirmed as the newest.
+	// ConfirmedAgeMS is the time since that position was confirmed as the newest.
 	ConfirmedAgeMS int64        `json:"confirmed-age-ms"`
 	Items          []store.Item `json:"items"`
 }
 
-// Items returns the changes after a revision, which is given as the text of the query parameter.
-// It returns all items if the text is not a number or the revision is too old.
-func (d *Controller) Items(sinceText string) Items {
-	revision, err := strconv.ParseInt(sinceText, 10, 64)
-	if err != nil {
-		revision = 0 // The peer gets all items.
-	}
+// Items returns the changes after a revision of an era, which are given as the texts of the query parameters. It
+// returns all items if the revision is not a number or too old, or the store was restored lately. Without an era,
+// as earlier builds ask, that of this host is meant.
+func (d *Controller) Items(sinceText, eraText string) Items {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changes, partial := d.cache.changesAfter(revision)
-	items := Items{Revision: d.revision, Partial: partial, Items: changes, ConfirmedAgeMS: time.Since(d.confirmedAt).Milliseconds()}
+	changes, partial := d.changesAfter(d.parsePosition(sinceText, eraText))
+	items := Items{
+		Era: d.position.Era(), Revision: d.position.Revision(), Partial: partial, Items: changes,
+		ConfirmedAgeMS: time.Since(d.confirmedAt).Milliseconds(),
+	}
 	if !d.lastOutageAt.IsZero() {
 		items.OutageAgeMS = max(time.Since(d.lastOutageAt).Milliseconds(), 1)
 	}
 	return items
 }
 
-// HandlePeerState implements member.PeerStateHandler. A peer at the same revision can confirm it;
-// a peer at a newer revision is read.
+// parsePosition returns the position that a peer has read, 0 if it has none.
+func (d *Controller) parsePosition(sinceText, eraText string) store.Position {
+	revision, err := strconv.ParseInt(sinceText, 10, 64)
+	if err != nil || revision <= 0 {
+		return 0
+	}
+	era := d.position.Era()
+	if number, err := strconv.ParseInt(eraText, 10, 32); err == nil {
+		era = store.Era(number)
+	}
+	return store.NewPosition(era, revision)
+}
+
+// changesAfter returns the changes that a peer lacks and true, or all items and false.
+func (d *Controller) changesAfter(after store.Position) ([]store.Item, bool) {
+	wasRestored := !d.restore.at.IsZero() && time.Since(d.restore.at) < fullListTime
+	if wasRestored || after.Era() != d.position.Era() {
+		return d.cache.all(), false
+	}
+	return d.cache.changesAfter(after)
+}
+
+// HandlePeerState implements member.PeerStateHandler. A peer at the same position can confirm it; a peer at a later
+// one, or with a later configuration, is read.
 func (d *Controller) HandlePeerState(reported member.PeerState, peerURL string) {
+	peer := newerPeer{peerURL, reported.StorePosition, reported.ConfigRevision}
 	d.mu.Lock()
-	isBehind := reported.StoreRevision > d.revision
-	if confirmed := time.Now().Add(-reported.StoreAge); reported.StoreRevision == d.revision && reported.StoreRevision > 0 && confirmed.After(d.confirmedAt) {
+	isNewer := d.lacks(peer)
+	if confirmed := time.Now().Add(-reported.StoreAge); reported.StorePosition == d.position && reported.StorePosition > 0 && confirmed.After(d.confirmedAt) {
 		d.setConfirmed(confirmed)
 	}
 	d.mu.Unlock()
-	if !isBehind {
+	if !isNewer {
 		return
 	}
 	select {
-	case d.newerPeers <- newerPeer{peerURL, reported.StoreRevision}:
+	case d.newerPeers <- peer:
 	default: // A read from another peer is already pending.
 	}
 }
 
-// newerPeer is a peer that has reported a newer store revision.
+// newerPeer is a peer that has reported a later position or configuration.
 type newerPeer struct {
 	url      string
-	revision int64
+	position store.Position
+	config   object.Revision
 }
 
-// readPeers reads the items of peers that have reported a newer revision.
+// lacks reports whether this host lacks what a peer has. The configuration is compared too, because a store that was
+// restored holds an older one until the operator writes it again. The caller must hold d.mu.
+func (d *Controller) lacks(peer newerPeer) bool {
+	return peer.position > d.position || peer.position > 0 && d.lacksConfig(peer.config)
+}
+
+func (d *Controller) lacksConfig(revision object.Revision) bool {
+	return d.base != nil && revision > max(d.base.Revision, d.refused)
+}
+
+// readPeers reads the items of peers that have reported a later state.
 func (d *Controller) readPeers(ctx context.Context) {
 	for {
 		var peer newerPeer
@@ -102,16 +141,22 @@
 		if d.isWatcher() {
 			sleep(ctx, peerReadDelay)
 		}
-		if ctx.Err() != nil || d.currentRevision() >= peer.revision {
+		if ctx.Err() != nil || !d.stillLacks(peer) {
 			continue
 		}
-		if err := d.readPeer(ctx, peer.url); err != nil {
+		if err := d.readPeer(ctx, peer); err != nil {
 			d.common.CountRetry("peer-read")
 			d.log.WithError(err).WithField("peer", peer.url).Info("Read from peer failed.")
 		}
 	}
 }
 
+func (d *Controller) stillLacks(peer newerPeer) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lacks(peer)
+}
+
 // isWatcher reports whether this host is one of those that watch the store.
 func (d *Controller) isWatcher() bool {
 	return d.board.Members().IsSelected(watchTask, watchers)
@@ -142,7 +187,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case d.revision == 0:
+	case d.position == 0 || d.listRequired:
 		return 0
 	case d.confirmedAt.IsZero():
 		if isWatcher {
@@ -152,14 +197,21 @@
 	case isWatcher:
 		return 0
 	}
-	return maxUnconfirmedAge - time.Since(d.confirmedAt)
+	return min(maxUnconfirmedAge-time.Since(d.confirmedAt), d.restore.timeUntilList(time.Now()))
 }
 
-func (d *Controller) readPeer(ctx context.Context, peerURL string) error {
+func (d *Controller) readPeer(ctx context.Context, peer newerPeer) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	since := strconv.FormatInt(d.currentRevision(), 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, peerURL+wire.ItemsPath+"?"+sinceParameter+"="+since, nil)
+	position := d.currentPosition()
+	if peer.position <= position {
+		position = 0 // The peer has a later configuration, whose position does not tell that.
+	}
+	query := url.Values{
+		sinceParameter: {strconv.FormatInt(position.Revision(), 10)},
+		eraParameter:   {strconv.FormatInt(int64(position.Era()), 10)},
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, peer.url+wire.ItemsPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return fmt.Errorf("read peer: %w", err)
 	}
@@ -176,19 +228,21 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxItemsBytes)).Decode(&items); err != nil {
 		return fmt.Errorf("decode items of peer: %w", err)
 	}
-	d.applyPeerItems(items, peerURL)
+	d.applyPeerItems(items, peer.url)
 	return nil
 }
 
-// applyPeerItems applies the items of a peer if their revision is newer.
+// applyPeerItems applies the items of a peer if their position is later, and their configuration if that is.
 func (d *Controller) applyPeerItems(items Items, peerURL string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if items.Revision <= d.revision {
+	position := store.NewPosition(items.Era, items.Revision)
+	if position <= d.position {
+		d.applyPeerConfig(items.Items)
 		return
 	}
-	d.log.WithFields(logrus.Fields{"peer": peerURL, "store-revision": items.Revision, "was": d.revision, "items": len(items.Items)}).Info("State of the store taken from a peer.")
-	d.setRevision(items.Revision)
+	d.log.WithFields(logrus.Fields{"peer": peerURL, "store-position": position.String(), "was": d.position.String(), "items": len(items.Items)}).Info("State of the store taken from a peer.")
+	d.setPosition(position)
 	if items.OutageAgeMS > 0 {
 		outageAt := time.Now().Add(-time.Duration(items.OutageAgeMS) * time.Millisecond)
 		if outageAt.After(d.lastOutageAt) {
@@ -204,3 +258,13 @@
 		d.setConfirmed(confirmed)
 	}
 }
+
+// applyPeerConfig applies the configuration among the items of a peer if it is later than the one in force. The caller
+// must hold d.mu.
+func (d *Controller) applyPeerConfig(items []store.Item) {
+	for _, i := range items {
+		if i.Key == d.translator.ConfigKey() && d.applyItem(i) {
+			d.publish()
+		}
+	}
+}
--- a/internal/control/discovery/rollouts_test.go
+++ b/internal/control/discovery/rollouts_test.go
@@ -5,16 +5,17 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/object"
 )
 
 // TestCurrentRolloutIsTheNewestOrderOrRecord checks that the newest order decides: its record is
 // current if there is one, otherwise the order itself.
 func TestCurrentRolloutIsTheNewestOrderOrRecord(t *testing.T) {
-	order := func(revision int64, to object.Generation) *object.Rollout {
+	order := func(revision store.Position, to object.Generation) *object.Rollout {
 		return &object.Rollout{Pool: "p", To: to, OrderRevision: revision, State: object.RolloutOrdered}
 	}
-	record := func(of int64, to object.Generation, state object.RolloutState) *object.Rollout {
+	record := func(of store.Position, to object.Generation, state object.RolloutState) *object.Rollout {
 		return &object.Rollout{Pool: "p", To: to, OrderRevision: of, State: state, RecordRevision: 50}
 	}
 	rows := []struct {
--- a/internal/control/discovery/site_test.go
+++ b/internal/control/discovery/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,7 +22,7 @@
 // fakeTree is an in-memory store whose calls can be made to fail.
 type fakeTree struct {
 	mu       sync.Mutex
-	revision int64
+	revision store.Position
 	items    map[string]store.Item
 	history  []store.Item
 	err      error
@@ -31,7 +32,7 @@
 	changed  chan struct{}
 
 	stale         []store.Item
-	staleRevision int64
+	staleRevision store.Position
 }
 
 func newFakeTree() *fakeTree {
@@ -42,7 +43,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision++
-	item := store.Item{Key: key, Data: []byte(data), Revision: f.revision}
+	item := store.Item{Key: key, Data: []byte(data), Position: f.revision}
 	f.items[key] = item
 	f.history = append(f.history, item)
 	f.wake()
@@ -53,7 +54,7 @@
 	defer f.mu.Unlock()
 	f.revision++
 	delete(f.items, key)
-	f.history = append(f.history, store.Item{Key: key, Revision: f.revision, Deleted: true})
+	f.history = append(f.history, store.Item{Key: key, Position: f.revision, Deleted: true})
 	f.wake()
 }
 
@@ -65,7 +66,7 @@
 }
 
 // current returns the revision of the store.
-func (f *fakeTree) current() int64 {
+func (f *fakeTree) current() store.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.revision
@@ -83,7 +84,7 @@
 	f.changed = make(chan struct{})
 }
 
-func (f *fakeTree) List(context.Context, string) ([]store.Item, int64, error) {
+func (f *fakeTree) List(context.Context, string) ([]store.Item, store.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
@@ -98,7 +99,7 @@
 }
 
 // ListStale returns the frozen list if there is one, otherwise the current items.
-func (f *fakeTree) ListStale(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+func (f *fakeTree) ListStale(ctx context.Context, prefix string) ([]store.Item, store.Position, error) {
 	f.mu.Lock()
 	stale, revision := f.stale, f.staleRevision
 	f.mu.Unlock()
@@ -116,7 +117,7 @@
 	f.stale, f.staleRevision = items, revision
 }
 
-func (f *fakeTree) WatchChanges(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Item, int64, error) {
+func (f *fakeTree) WatchChanges(ctx context.Context, _ string, after store.Position, wait time.Duration) ([]store.Item, store.Position, error) {
 	f.mu.Lock()
 	f.follows++
 	f.mu.Unlock()
@@ -124,9 +125,12 @@
 	for {
 		f.mu.Lock()
 		changed, err, revision := f.changed, f.err, f.revision
+		if err == nil && revision.Era() != after.Era() {
+			err = store.ErrRestored
+		}
 		var items []store.Item
 		for _, i := range f.history {
-			if i.Revision > after {
+			if i.Position > after {
 				items = append(items, i)
 			}
 		}
@@ -152,7 +156,7 @@
 	err := f.err
 	matched := true
 	for _, c := range t.Compares {
-		matched = matched && f.items[c.Key].Revision == c.ModRevision
+		matched = matched && f.items[c.Key].Position == c.ModRevision
 	}
 	f.mu.Unlock()
 	if err != nil || !matched {
@@ -270,3 +274,17 @@
 
 // waitForBatch waits until the controller has made its next store call after a batch of changes.
 func waitForBatch() { time.Sleep(2 * batchDelay) }
+
+// listCount returns the number of list calls so far.
+func (f *fakeTree) listCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lists
+}
+
+// orderPosition returns the position of the order of the pool p as text.
+func (f *fixture) orderPosition() string {
+	f.tree.mu.Lock()
+	defer f.tree.mu.Unlock()
+	return strconv.FormatInt(int64(f.tree.items["orders/p"].Position), 10)
+}
--- a/internal/control/discovery/targets.go
+++ b/internal/control/discovery/targets.go
@@ -35,7 +35,7 @@
 		return false // Only fields that are not decoded have changed, such as a counter.
 	}
 	d.targets[i.Key] = t
-	d.log.WithFields(logrus.Fields{"target": t.Name, "pool": t.Pool, "drain": t.Drain, "store-revision": i.Revision}).Info("Target changed.")
+	d.log.WithFields(logrus.Fields{"target": t.Name, "pool": t.Pool, "drain": t.Drain, "store-position": i.Position.String()}).Info("Target changed.")
 	return true
 }
 
@@ -44,7 +44,7 @@
 // target is kept for a grace period in which its owner can write the entry again.
 func (d *Controller) handleDeletedTarget(i store.Item) bool {
 	key := i.Key
-	d.cache.remove(key, i.Revision)
+	d.cache.remove(key, i.Position)
 	if d.targets[key] == nil {
 		return false
 	}
--- a/internal/control/heldprefix/controller.go
+++ b/internal/control/heldprefix/controller.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		r.writtenAt[pool] = now
-		if err := r.write(ctx, pool, record.Revision, held); err != nil && ctx.Err() == nil {
+		if err := r.write(ctx, pool, record.Position, held); err != nil && ctx.Err() == nil {
 			r.common.CountRetry("store-held-prefixes")
 			r.log.WithError(err).WithField("pool", pool).Warn("Held prefixes not written.")
 		}
@@ -128,19 +128,19 @@
 }
 
 // write replaces the record of a pool, unless it has changed since it was read.
-func (r *Controller) write(ctx context.Context, pool object.PoolName, revision int64, held []wire.PrefixNotice) error {
+func (r *Controller) write(ctx context.Context, pool object.PoolName, position store.Position, held []wire.PrefixNotice) error {
 	data, err := json.Marshal(held)
 	if err != nil {
 		return fmt.Errorf("encode held prefixes: %w", err)
 	}
 	key := discovery.HeldPrefixesKey(pool)
 	committed, _, err := r.tree.Txn(ctx, store.Transaction{
-		Compares: []store.Compare{{Key: key, ModRevision: revision}},
+		Compares: []store.Compare{{Key: key, ModRevision: position}},
 		Puts:     []store.Put{{Key: key, Data: data}},
 	})
 	if err != nil {
 		return fmt.Errorf("write held prefixes: %w", err)
 	}
-	r.log.WithFields(logrus.Fields{"pool": pool, "held": len(held), "replaced": revision, "committed": committed}).Info("Held prefixes written.")
+	r.log.WithFields(logrus.Fields{"pool": pool, "held": len(held), "replaced": position.String(), "committed": committed}).Info("Held prefixes written.")
 	return nil
 }
--- a/internal/control/heldprefix/controller_test.go
+++ b/internal/control/heldprefix/controller_test.go
@@ -20,7 +20,7 @@
 type fakeTree struct {
 	store.Tree
 	mu       sync.Mutex
-	revision int64
+	revision store.Position
 	items    map[string]store.Value
 	err      error
 }
@@ -60,7 +60,7 @@
 	value := f.items[discovery.HeldPrefixesKey("p")]
 	notices, err := discovery.DecodeHeldPrefixes("p", value.Data)
 	require.NoError(t, err)
-	b.SetPrefixRecord("p", board.PrefixRecord{Revision: value.ModRevision, Held: notices})
+	b.SetPrefixRecord("p", board.PrefixRecord{Position: value.ModRevision, Held: notices})
 	return notices
 }
 
@@ -77,7 +77,7 @@
 	require.Equal(t, []wire.PrefixNotice{held(7, 4)}, tree.readBack(t, r.board))
 	now = now.Add(time.Minute)
 	require.False(t, r.update(ctx, now), "the record is up to date")
-	require.Equal(t, int64(1), tree.revision)
+	require.Equal(t, store.Position(1), tree.revision)
 
 	r.board.RecordPrefix(now, wire.PrefixNotice{Pool: "p", Prefix: 7, Version: 5, State: wire.PrefixCleared})
 	require.True(t, r.update(ctx, now))
@@ -97,7 +97,7 @@
 	tree.revision = 30
 	now = now.Add(writeRetryDelay)
 	require.True(t, r.update(context.Background(), now))
-	require.Equal(t, int64(30), tree.revision, "what another host has written is not replaced unseen")
+	require.Equal(t, store.Position(30), tree.revision, "what another host has written is not replaced unseen")
 	tree.readBack(t, r.board)
 	now = now.Add(writeRetryDelay)
 	require.True(t, r.update(context.Background(), now))
--- a/internal/control/host/peers.go
+++ b/internal/control/host/peers.go
@@ -50,7 +50,7 @@
 
 // serveItems adds the route from which peers read this host's copy of the platform's store.
 func serveItems(router *gin.Engine, d *discovery.Controller) http.Handler {
-	router.GET(wire.ItemsPath, func(c *gin.Context) { c.JSON(http.StatusOK, d.Items(c.Query("since"))) })
+	router.GET(wire.ItemsPath, func(c *gin.Context) { c.JSON(http.StatusOK, d.Items(c.Query("since"), c.Query("era"))) })
 	return router
 }
 
--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"redwinglock/internal/platform/hosts"
+	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
 	"redwinglock/internal/state/object"
@@ -36,10 +37,10 @@
 type PeerState struct {
 	// ConfigRevision is the revision of the active configuration.
 	ConfigRevision object.Revision
-	// StoreRevision is the revision of the platform's store that the host has read, 0 if it does
+	// StorePosition is the position in the platform's store that the host has read, 0 if it does
 	// not read the store.
-	StoreRevision int64
-	// StoreAge is the time since StoreRevision was last confirmed to be the latest revision.
+	StorePosition store.Position
+	// StoreAge is the time since StorePosition was last confirmed to be the latest.
 	StoreAge time.Duration
 }
 
@@ -278,16 +279,16 @@
 // stateRevisions are the revisions that a host announces to peers immediately when they change.
 type stateRevisions struct {
 	config object.Revision
-	store  int64
+	store  store.Position
 }
 
 func (m *Controller) stateRevisions() stateRevisions {
-	return stateRevisions{m.configRevision(), m.board.Store().Revision}
+	return stateRevisions{m.configRevision(), m.board.Store().Position}
 }
 
 func (m *Controller) localState() PeerState {
 	state := m.board.Store()
-	return PeerState{ConfigRevision: m.configRevision(), StoreRevision: state.Revision, StoreAge: time.Since(state.ConfirmedAt)}
+	return PeerState{ConfigRevision: m.configRevision(), StorePosition: state.Position, StoreAge: time.Since(state.ConfirmedAt)}
 }
 
 func (m *Controller) configRevision() object.Revision {
--- a/internal/control/member/messages.go
+++ b/internal/control/member/messages.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/object"
 )
@@ -46,6 +47,8 @@
 	Revision object.Revision `json:"revision"`
 	// StoreRevision is the revision of the platform's store that the sender has read.
 	StoreRevision int64 `json:"store-revision,omitempty"`
+	// StoreEra is the era of StoreRevision. Earlier builds send none.
+	StoreEra store.Era `json:"store-era,omitempty"`
 	// StoreAgeMS is the time since StoreRevision was last confirmed to be the latest.
 	StoreAgeMS int64 `json:"store-age-ms,omitempty"`
 	// Updates are recent member changes that the sender is still spreading.
@@ -76,7 +79,7 @@
 
 // peerState returns the revisions that the sender has.
 func (h *Heartbeat) peerState() PeerState {
-	return PeerState{h.Revision, h.StoreRevision, time.Duration(h.StoreAgeMS) * time.Millisecond}
+	return PeerState{h.Revision, store.NewPosition(h.StoreEra, h.StoreRevision), time.Duration(h.StoreAgeMS) * time.Millisecond}
 }
 
 // LeavingList lists the targets that the platform is about to stop.
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -133,8 +133,9 @@
 // gets that update first, so that it can refute it.
 func (t *Table) Compose(to string, ackedIncarnation uint64, localState PeerState) Heartbeat {
 	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: localState.ConfigRevision, Digest: t.Digest()}
-	if localState.StoreRevision > 0 {
-		h.StoreRevision = localState.StoreRevision
+	if localState.StorePosition > 0 {
+		h.StoreEra = localState.StorePosition.Era()
+		h.StoreRevision = localState.StorePosition.Revision()
 		h.StoreAgeMS = localState.StoreAge.Milliseconds()
 	}
 	if t.self.Status != Alive {
--- a/internal/control/rollout/controller.go
+++ b/internal/control/rollout/controller.go
@@ -95,7 +95,7 @@
 	}
 	active := 0
 	for _, spec := range config.Rollouts() {
-		if spec.Finished() {
+		if spec.Finished() && !spec.Unsaved {
 			continue
 		}
 		active++
@@ -124,6 +124,9 @@
 // nextRecord returns the record that should replace the current one, or nil.
 func (r *Controller) nextRecord(now time.Time, spec *object.Rollout) *object.Rollout {
 	record := *spec
+	if spec.Unsaved {
+		return &record
+	}
 	if spec.State == object.RolloutOrdered {
 		record.State = object.RolloutRunning
 		record.StartedMS = now.UnixMilli()
@@ -184,7 +187,7 @@
 		return fmt.Errorf("write record: %w", err)
 	}
 	log := r.log.WithFields(logrus.Fields{
-		"pool": record.Pool, "to": record.To, "state": record.State, "order": record.OrderRevision, "replaced": record.RecordRevision, "evidence": string(record.Evidence),
+		"pool": record.Pool, "to": record.To, "state": record.State, "order": record.OrderRevision.String(), "replaced": record.RecordRevision.String(), "evidence": string(record.Evidence),
 	})
 	if !committed {
 		log.Info("Record of a rollout was changed by another host.")
--- a/internal/control/rollout/controller_test.go
+++ b/internal/control/rollout/controller_test.go
@@ -22,7 +22,7 @@
 type fakeTree struct {
 	store.Tree
 	mu       sync.Mutex
-	revision int64
+	revision store.Position
 	items    map[string]store.Value
 	writes   int
 	// loseResponses makes Txn commit and return an error, as if the response was lost.
--- a/internal/platform/claims/claims.go
+++ b/internal/platform/claims/claims.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode claim: %w", err)
 	}
-	revision := int64(0)
+	revision := store.Position(0)
 	for {
 		succeeded, current, err := c.kv.Txn(ctx, store.Transaction{
 			Compares: []store.Compare{{Key: path, ModRevision: revision}},
--- a/internal/platform/store/etcd.go
+++ b/internal/platform/store/etcd.go
@@ -184,7 +184,7 @@
 	for i, r := range responses {
 		if r.Range != nil && len(r.Range.KVs) > 0 {
 			kv := r.Range.KVs[0]
-			values[i] = Value{Data: kv.Value, ModRevision: int64(kv.ModRevision)}
+			values[i] = Value{Data: kv.Value, ModRevision: Position(kv.ModRevision)}
 		}
 	}
 	return values, nil
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -18,14 +18,14 @@
 // Value is a stored value. A ModRevision of 0 means that the key does not exist.
 type Value struct {
 	Data        []byte
-	ModRevision int64
+	ModRevision Position
 }
 
 // Compare is a condition of a transaction: the key was last modified at ModRevision, or does
 // not exist if ModRevision is 0.
 type Compare struct {
 	Key         string
-	ModRevision int64
+	ModRevision Position
 }
 
 // Transaction applies all puts and deletes if all compares succeed, and otherwise none.
@@ -53,23 +53,25 @@
 type Item struct {
 	Key      string
 	Data     []byte
-	Revision int64
+	Position Position
 	// Deleted items have no data.
 	Deleted bool
 }
 
 // Tree is a store that can list the keys with a prefix and wait for changes to them. All errors
-// wrap ErrUnavailable, ErrCompacted or ErrNoLease, except for invalid requests.
+// wrap ErrUnavailable, ErrCompacted, ErrRestored or ErrNoLease, except for invalid requests.
 type Tree interface {
-	// List returns all items under a prefix and the revision to pass to WatchChanges.
-	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	// List returns all items under a prefix and the position to pass to WatchChanges.
+	List(ctx context.Context, prefix string) ([]Item, Position, error)
 	// ListStale is like List at a tenth of its cost, but the result can be some seconds old.
-	ListStale(ctx context.Context, prefix string) ([]Item, int64, error)
-	// WatchChanges waits for changes under a prefix after a revision, at most for the given time.
-	// It returns the changes and the revision to pass to the next call.
-	WatchChanges(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	ListStale(ctx context.Context, prefix string) ([]Item, Position, error)
+	// WatchChanges waits for changes under a prefix after a position, at most for the given time.
+	// It returns the changes and the position to pass to the next call, or ErrRestored if the store is in
+	// another era by now.
+	WatchChanges(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
 	// Txn runs a transaction and reports whether its compares succeeded. If not, it returns
-	// the current values of the compared keys.
+	// the current values of the compared keys. If the store is in another era than its compares, it
+	// returns ErrRestored.
 	Txn(ctx context.Context, t Transaction) (bool, []Value, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- a/internal/pool/shard/rollout.go
+++ b/internal/pool/shard/rollout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/platform/store"
 	"redwinglock/internal/pool/trial"
 	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
@@ -216,9 +217,9 @@
 
 // RolloutState is the state of a rollout at one shard.
 type RolloutState struct {
-	// OrderRevision identifies the rollout. It is the store revision at which the operator
+	// OrderRevision identifies the rollout. It is the position in the store at which the operator
 	// requested it.
-	OrderRevision int64
+	OrderRevision store.Position
 	Verdict       trial.Verdict
 	Evidence      trial.Evidence
 }
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -9,6 +9,7 @@
 
 	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/platform/store"
 	"redwinglock/internal/pool/quarantine"
 	"redwinglock/internal/state/digest"
 	"redwinglock/internal/state/object"
@@ -119,8 +120,8 @@
 
 // PrefixRecord is what the platform's store holds about the prompt prefixes of one pool.
 type PrefixRecord struct {
-	// Revision is the revision of the record, 0 if there is none.
-	Revision int64
+	// Position is the position of the record in the store, 0 if there is none.
+	Position store.Position
 	Held     []wire.PrefixNotice
 }
 
@@ -138,11 +139,11 @@
 	b.notify()
 }
 
-// StoreState is the latest revision of the platform's store that this host has applied,
-// received from the store or from a peer, and the time when that revision was last confirmed
+// StoreState is the latest position in the platform's store that this host has applied,
+// received from the store or from a peer, and the time when that position was last confirmed
 // to be the newest.
 type StoreState struct {
-	Revision    int64
+	Position    store.Position
 	ConfirmedAt time.Time
 }
 
@@ -152,7 +153,7 @@
 // SetStoreState replaces the state of this host's copy of the platform's store.
 func (b *Board) SetStoreState(s StoreState) {
 	previous := b.store.Swap(&s)
-	if previous.Revision != s.Revision {
+	if previous.Position != s.Position {
 		b.notify()
 	}
 }
--- a/internal/state/object/rollout.go
+++ b/internal/state/object/rollout.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"slices"
+
+	"redwinglock/internal/platform/store"
 )
 
 // RolloutState is the progress of a rollout.
@@ -20,6 +22,19 @@
 	RolloutRolledBack RolloutState = "rolled-back"
 )
 
+// After reports whether a rollout of one order reaches this state after another one. Final states are never left.
+func (s RolloutState) After(other RolloutState) bool { return s.progress() > other.progress() }
+
+func (s RolloutState) progress() int {
+	switch s {
+	case RolloutOrdered:
+		return 0
+	case RolloutRunning:
+		return 1
+	}
+	return 2
+}
+
 // Rollout moves the requests of a pool to targets of another version. Its record is kept in
 // the store, so it survives the failure of any host.
 type Rollout struct {
@@ -27,10 +42,10 @@
 	// To is the new version, From are the previous versions.
 	To   Generation   `json:"to"`
 	From []Generation `json:"from"`
-	// OrderRevision is the store revision at which the operator requested the rollout. A later
+	// OrderRevision is the position in the store at which the operator requested the rollout. A later
 	// request starts a new rollout.
-	OrderRevision int64        `json:"order"`
-	State         RolloutState `json:"state"`
+	OrderRevision store.Position `json:"order"`
+	State         RolloutState   `json:"state"`
 	// StartedMS is the time of the first write of the record, in Unix milliseconds.
 	StartedMS int64 `json:"begun-ms"`
 	// Duration is the time within which the operator requests the rollout to finish.
@@ -38,8 +53,11 @@
 	// Evidence holds the measurements of the versions by an arbiter, so that the next arbiter
 	// can continue from them.
 	Evidence json.RawMessage `json:"evidence,omitempty"`
-	// RecordRevision is the store revision of the record, 0 if there is no record.
-	RecordRevision int64 `json:"-"`
+	// RecordRevision is the position of the record in the store, 0 if there is no record.
+	RecordRevision store.Position `json:"-"`
+	// Unsaved is set if the store holds an earlier state of the record, or none, since it was restored from an
+	// older copy.
+	Unsaved bool `json:"-"`
 }
 
 // Finished reports whether the rollout has ended.
