--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -155,6 +155,7 @@
 	load.Go(func() { s.sendPoison(ctx) })
 	start := time.Now()
 	s.background.Go(func() { s.runRateLimits(start) })
+	s.background.Go(func() { s.runRestores(start) })
 	for _, f := range drawPlan(s.options.Seed, s.options.Faults, s.options.FaultPeriod) {
 		time.Sleep(time.Until(start.Add(f.at)))
 		s.background.Go(func() { s.inject(f) })
@@ -234,6 +235,9 @@
 	for _, l := range drawRateLimits(s.options.Seed, s.options.FaultPeriod) {
 		fmt.Fprintln(&plan, l)
 	}
+	for _, r := range drawRestores(s.options.Seed, s.options.FaultPeriod) {
+		fmt.Fprintln(&plan, r)
+	}
 	text := strings.Join(broken, "\n") + "\n\n" + plan.String()
 	errs := []error{os.WriteFile(filepath.Join(dir, "broken.txt"), []byte(text), 0o644)}
 	for _, h := range s.site.Hosts {
