--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -36,7 +36,9 @@
 	maxCallerHeaderBytes = 64 << 10
 	// leaveTimeout bounds the time to announce a stop to peers.
 	leaveTimeout = time.Second
-	metricsPath  = "/metrics"
+	// finalAnswerTime is the time before the end of a stop at which the requests that are left are answered.
+	finalAnswerTime = 300 * time.Millisecond
+	metricsPath     = "/metrics"
 )
 
 // RunGateway starts a gateway host, which forwards requests, then waits for a signal and shuts the
@@ -223,15 +225,29 @@
 	clock.wait(ctx, settings.Gateway.StopServeLong)
 	h.Gateway.CloseToLongStreams(time.Now().Add(clock.remaining(totalLimit)))
 	clock.wait(ctx, settings.Gateway.StopServe)
+	h.Gateway.CloseToLongRequests(time.Now().Add(clock.remaining(totalLimit)))
+	answersCtx, cancelAnswers := clock.withTimeout(ctx, totalLimit-finalAnswerTime)
+	defer cancelAnswers()
+	defer context.AfterFunc(answersCtx, h.Gateway.EndRequests)()
 	requestsCtx, cancel := clock.withTimeout(ctx, totalLimit)
 	defer cancel()
-	errs := []error{h.callerListener.shutdown(requestsCtx), h.Gateway.Close()}
+	errs := []error{h.shutdownCallers(requestsCtx), h.Gateway.Close()}
 	leaving.Wait()
 	h.log.WithField("left-of-limit", clock.remaining(totalLimit).String()).Info("All requests have ended.")
 	errs = append(errs, listErr, h.closeOtherListeners(ctx))
 	return errors.Join(errs...)
 }
 
+// shutdownCallers waits for the requests in flight until ctx is done. Connections on which all requests have been
+// answered by then are closed without an error.
+func (h *gatewayHost) shutdownCallers(ctx context.Context) error {
+	err := h.callerListener.shutdown(ctx)
+	if errors.Is(err, context.Canceled) && h.Gateway.Active() == 0 {
+		return nil
+	}
+	return err
+}
+
 // closeOtherListeners closes the listeners for peers and the platform in parallel.
 func (h *gatewayHost) closeOtherListeners(ctx context.Context) error {
 	// The streams of peers do not end by themselves.
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -42,7 +42,7 @@
 // forward sends a request to targets until one has answered it completely or no further attempt
 // is allowed.
 func (s *Server) forward(c *gin.Context, r *request) error {
-	ctx, cancel := context.WithDeadline(c.Request.Context(), r.deadline)
+	ctx, cancel := s.stop.requestContext(c.Request.Context(), r.deadline)
 	defer cancel()
 	s.retries.recordRequest(r.pool, r.arrived)
 	a := &answer{writer: c.Writer, request: r}
@@ -72,11 +72,14 @@
 	return s.retries.consume(r.pool, time.Now())
 }
 
-// contextFailure returns the failure of a request whose caller disconnected, or whose deadline
-// passed, after it was sent.
+// contextFailure returns the failure of a request whose caller disconnected, whose deadline passed, or whose
+// host ended after it was sent.
 func (s *Server) contextFailure(ctx context.Context, a *answer) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return outcome.NotCompleted(outcome.Unknown, outcome.TargetSilent, "the time was up before the answer was complete")
+	case errors.Is(cause, errHostEnds):
+		return outcome.NotCompleted(outcome.Unknown, outcome.TargetSilent, "this host ended before the answer was complete")
 	}
 	return outcome.NotCompleted(outcome.Unknown, outcome.CallerDisconnected, "the caller closed the connection")
 }
@@ -89,7 +92,7 @@
 	for {
 		name, err := s.arbiters.Wait(ctx, ticket)
 		if err != nil {
-			return attemptFinal, s.unsentFailure(a, err)
+			return attemptFinal, s.unsentFailure(a, refuseAtEnd(ctx, err))
 		}
 		if !ticket.Watched() && s.board.Prefixes().IsHeld(time.Now(), r.pool, r.info.Prefixes) {
 			// The grant is older than what this host knows of the prefix.
@@ -119,7 +122,8 @@
 			finish.Unreachable = ctx.Err() == nil
 			if ctx.Err() != nil {
 				ticket.Finish(finish)
-				return attemptFinal, s.unsentFailure(a, outcome.Refuse(outcome.DeadlinePassed, 0, "the time was up before a target was reached"))
+				timeUp := outcome.Refuse(outcome.DeadlinePassed, 0, "the time was up before a target was reached")
+				return attemptFinal, s.unsentFailure(a, refuseAtEnd(ctx, timeUp))
 			}
 			ticket.Return(finish)
 		case errors.Is(err, errAddressMoved), errors.Is(err, errNotRun):
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -55,12 +55,10 @@
 	// rateLimitLogs bounds the log lines about invalid rate limits of targets.
 	rateLimitLogs common.RateLimit
 
-	hostID wire.HostID
-	nextID atomic.Uint64
-	closed atomic.Bool
-	// stopsAt is the time at which this host stops. It is set once the host refuses streams that
-	// may last longer.
-	stopsAt  atomic.Pointer[time.Time]
+	hostID   wire.HostID
+	nextID   atomic.Uint64
+	closed   atomic.Bool
+	stop     stopState
 	active   sync.WaitGroup
 	inFlight atomic.Int64
 }
@@ -79,6 +77,7 @@
 		answeredLogs:  common.RateLimit{Limit: answeredLogsPerSecond},
 		rateLimitLogs: common.RateLimit{Limit: rateLimitLogsPerSecond},
 		hostID:        b.Members().Self.Run,
+		stop:          newStopState(),
 	}
 }
 
@@ -90,16 +89,6 @@
 	return router
 }
 
-// CloseToLongStreams refuses new streams that may last until this host stops. Plain calls are
-// still served, because they rarely last until their deadline.
-func (s *Server) CloseToLongStreams(stopsAt time.Time) { s.stopsAt.Store(&stopsAt) }
-
-// mayOutlastHost reports whether a request is a stream that may still run when this host stops.
-func (s *Server) mayOutlastHost(r *request) bool {
-	stopsAt := s.stopsAt.Load()
-	return stopsAt != nil && r.route.Execution == object.Stream && !r.deadline.Before(*stopsAt)
-}
-
 // CloseToNew refuses all new requests.
 func (s *Server) CloseToNew() { s.closed.Store(true) }
 
@@ -193,7 +182,7 @@
 	r.requestLine = c.Request.Method + " " + c.Request.RequestURI
 	r.pool = r.choosePool()
 	r.setDeadline()
-	if s.mayOutlastHost(r) {
+	if s.stop.mayOutlast(r) {
 		return outcome.Refuse(outcome.HostStopping, stoppingRetryAfter, "this host is stopping and may end before the request does")
 	}
 	return s.readBody(c, r)
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -193,6 +194,67 @@
 	require.Equal(t, []int{3}, s.runs())
 }
 
+// TestStoppingHostRefusesCallsThatMayOutlastIt sends calls in the last part of a planned stop.
+func TestStoppingHostRefusesCallsThatMayOutlastIt(t *testing.T) {
+	s := newSite(t, answerWith(http.StatusOK, "done"))
+	s.board.SetStopping()
+	s.server.CloseToLongRequests(time.Now().Add(3 * time.Second))
+	rows := []struct {
+		path, leftMS string
+		status       int
+	}{
+		{"/read/x", "2000", http.StatusOK},
+		{"/read/x", "4000", http.StatusServiceUnavailable},
+		{"/write/x", "2000", http.StatusOK},
+		{"/write/x", "4000", http.StatusServiceUnavailable},
+		{"/fixed/x", "4000", http.StatusServiceUnavailable},
+	}
+	for _, row := range rows {
+		got := s.send("POST", row.path, "", "Left-Ms", row.leftMS)
+		require.Equal(t, row.status, got.status, "%v", row)
+	}
+	require.Equal(t, []int{2}, s.runs())
+}
+
+// TestRequestsLeftAtTheEndOfAStopGetAFinalAnswer ends a host while requests wait for a target, are at a target that
+// does not answer, or have begun to be answered.
+func TestRequestsLeftAtTheEndOfAStopGetAFinalAnswer(t *testing.T) {
+	hang := func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	begin := func(w http.ResponseWriter, r *http.Request) {
+		events(1, 2, false)(w, r)
+		<-r.Context().Done()
+	}
+	rows := []struct {
+		name, path string
+		target     http.HandlerFunc
+		inFlight   int // Requests that take the slots of the target.
+		status     int
+		isCut      bool
+		reason     string
+	}{
+		{"at a target", "/write/x", hang, 0, http.StatusGatewayTimeout, false, "target-silent"},
+		{"resumable, at a target", "/resumed/x", hang, 0, http.StatusGatewayTimeout, false, "target-silent"},
+		{"waiting for a target", "/write/x", hang, 4, http.StatusServiceUnavailable, false, "host-stopping"},
+		{"stream that has begun", "/fixed/x", begin, 0, http.StatusOK, true, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, row.target)
+			var others sync.WaitGroup
+			for range row.inFlight {
+				others.Go(func() { s.send("POST", "/write/x", "") })
+			}
+			require.Eventually(t, func() bool { return s.runs()[0] == row.inFlight }, 2*time.Second, time.Millisecond)
+			time.AfterFunc(100*time.Millisecond, s.server.EndRequests)
+			got := s.send("POST", row.path, "")
+			require.Equal(t, row.status, got.status)
+			require.Equal(t, row.isCut, got.err != nil)
+			require.Contains(t, got.body, row.reason)
+			others.Wait()
+		})
+	}
+}
+
 func TestReadinessAndDirectory(t *testing.T) {
 	s := newSite(t)
 	get := func(handler http.Handler, path string) (int, string) {
