--- a/internal/bench/soak/restore.go
+++ b/internal/bench/soak/restore.go
@@ -27,13 +27,16 @@
 	// copyAt is the time of the copy since the start of the load, and downAt that of the outage.
 	copyAt, downAt time.Duration
 	down           time.Duration
-	// rewrite is the time from the end of the outage until the operator and the targets write again.
+	// rewrite is the time from the restore until the operator and the targets write again.
 	rewrite time.Duration
+	// servesWritersFirst is set if the hosts are served only after these writes, and another change.
+	servesWritersFirst bool
 }
 
 // String describes a restore for the log of a run.
 func (r storeRestore) String() string {
-	return fmt.Sprintf("%6.2fs store away for %.2fs, then restored from a copy of %.2fs", r.downAt.Seconds(), r.down.Seconds(), r.copyAt.Seconds())
+	return fmt.Sprintf("%6.2fs store away for %.2fs, then restored from a copy of %.2fs, serves writers first: %t",
+		r.downAt.Seconds(), r.down.Seconds(), r.copyAt.Seconds(), r.servesWritersFirst)
 }
 
 // drawRestores draws the restores of a run. It has random numbers of its own, so that the faults of earlier seeds stay
@@ -53,6 +56,7 @@
 		r.downAt = r.copyAt + between(minCopyAge, maxCopyAge)
 		r.down = between(minStoreDownTime, maxStoreDownTime)
 		r.rewrite = between(0, rewriteTime)
+		r.servesWritersFirst = random.IntN(2) == 0
 		restores = append(restores, r)
 		at = r.downAt + r.down
 	}
@@ -77,13 +81,19 @@
 	time.Sleep(r.down)
 	s.configMu.Lock()
 	s.site.Store.Restore(older)
-	s.site.Store.SetFault(standin.Healthy)
+	if !r.servesWritersFirst {
+		s.site.Store.SetFault(standin.Healthy)
+	}
 	time.Sleep(r.rewrite)
 	s.site.Store.Configure(configuration(s.configVersion))
 	s.configMu.Unlock()
+	if r.servesWritersFirst {
+		s.changeConfig()
+	}
 	for _, t := range s.site.Targets() {
 		t.WriteAgain()
 	}
+	s.site.Store.SetFault(standin.Healthy)
 	end()
 	time.Sleep(lapseTime)
 	for _, t := range s.site.Targets() {
