--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -238,7 +238,8 @@
 
 // setPosition stores the applied position. The caller must hold d.mu.
 func (d *Controller) setPosition(position store.Position) {
-	if d.position != 0 && d.position.Era() != position.Era() {
+	// Positions of peers with an earlier build are in era 0, whatever the era of the store is.
+	if d.position.Era() != 0 && d.position.Era() != position.Era() {
 		d.recordRestore(time.Now(), position)
 	}
 	d.position = position
