--- a/internal/entry/gateway/events.go
+++ b/internal/entry/gateway/events.go
@@ -64,10 +64,18 @@
 
 var lineFeeds = strings.NewReplacer("\r\n", "\n", "\r", "\n")
 
+// withLineFeeds returns content with a line feed at the end of each line.
+func withLineFeeds(content []byte) string {
+	if bytes.IndexByte(content, '\r') < 0 {
+		return string(content)
+	}
+	return lineFeeds.Replace(string(content))
+}
+
 // recordEvents counts complete events and stores the last event id among them. Comments are no events.
 func (s *eventSplitter) recordEvents(events []byte) {
 	hasFields := false
-	for line := range strings.Lines(lineFeeds.Replace(string(events))) {
+	for line := range strings.Lines(withLineFeeds(events)) {
 		line = strings.TrimSuffix(line, "\n")
 		switch {
 		case line == "":
@@ -100,8 +108,7 @@
 // isInsideEvent reports whether the bytes after the last event begin another one. Whole comments and empty lines
 // do not.
 func (s *eventSplitter) isInsideEvent() bool {
-	text := lineFeeds.Replace(string(s.partial))
-	for line := range strings.Lines(text) {
+	for line := range strings.Lines(withLineFeeds(s.partial)) {
 		isBetweenEvents := line == "\n" || strings.HasPrefix(line, ":") && strings.HasSuffix(line, "\n")
 		if !isBetweenEvents {
 			return true
