--- a/internal/control/discovery/restore_test.go
+++ b/internal/control/discovery/restore_test.go
@@ -251,3 +251,32 @@
 		require.Equal(t, []object.TargetName{"i-1"}, f.targets(), "the store is believed at once")
 	})
 }
+
+// TestTwoRestoresWithinSecondsAreFollowed restores the store again, from a still older copy, while entries of the first
+// copy are held back.
+func TestTwoRestoresWithinSecondsAreFollowed(t *testing.T) {
+	runInAnEra(t, func(t *testing.T, f *fixture) {
+		oldest := f.tree.copy()
+		f.tree.set("targets/i-2", otherTarget)
+		waitForBatch()
+		older := f.tree.copy()
+		f.tree.remove("targets/i-2")
+		f.tree.set("config", "4")
+		waitForBatch()
+		f.tree.restore(older)
+		time.Sleep(settleDelay)
+		require.Equal(t, []object.TargetName{"i-1"}, f.targets(), "i-2 has left")
+		f.tree.set("config", "7")
+		waitForBatch()
+		f.tree.restore(oldest)
+		time.Sleep(settleDelay)
+		require.Equal(t, object.Revision(7), f.revision())
+		require.Equal(t, []object.TargetName{"i-1"}, f.targets())
+		f.tree.set("targets/i-2", otherTarget)
+		f.tree.set("config", "9")
+		waitForBatch()
+		require.Equal(t, object.Revision(9), f.revision())
+		require.ElementsMatch(t, []object.TargetName{"i-1", "i-2"}, f.targets())
+		require.Equal(t, store.Era(3), f.board.Store().Position.Era())
+	})
+}
