pool/quarantine: a prompt prefix that all requests have is not held right after it was cleared

Cause: a prefix that is cleared, because it is common or a request with it began, forgot how many requests have it; 20 more had to arrive until it counted as common again, and while all targets were down it was suspect and held within those. The log: suspect, cleared, suspect, cleared, suspect, held within four seconds. Change: arrivals are counted on. The new test fails without it (held after crash 7).

--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -284,7 +284,8 @@
 		delete(t.prefixes, prefix)
 		return
 	}
-	*e = evidence{state: wire.PrefixCleared, version: e.version, arrivedBefore: t.arrived}
+	// A prefix that is common stays so: the arrivals are counted on.
+	*e = evidence{state: wire.PrefixCleared, version: e.version, arrived: e.arrived, arrivedBefore: e.arrivedBefore}
 	t.announce(now, prefix, e)
 }
 
--- a/internal/pool/quarantine/tracker_test.go
+++ b/internal/pool/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,6 +61,24 @@
 	}
 }
 
+// TestPrefixOfAllRequestsIsNotHeldRightAfterItWasCleared lets so many requests arrive that a prefix is known to be
+// common, and then crashes targets in quick succession, as a fleet of which all targets are down does.
+func TestPrefixOfAllRequestsIsNotHeldRightAfterItWasCleared(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := New(testPool)
+	others := slices.Repeat([][]wire.PrefixHash{{7, 50}}, 10)
+	for i := range 3 {
+		now = now.Add(time.Second)
+		crashWith(tracker, now, i, []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, others)
+	}
+	require.False(t, tracker.IsSuspect([]wire.PrefixHash{7, 1}), "cleared, as all requests have it")
+	for i := 3; i < 12; i++ {
+		now = now.Add(time.Second)
+		crashWith(tracker, now, i, []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, nil)
+		require.False(t, tracker.IsHeld(now, []wire.PrefixHash{7, 1}), "after crash %d", i)
+	}
+}
+
 // TestSoundPrefixOfPoisonRequestsIsCleared makes the first prefix of poison requests suspect, too. Sound
 // requests with it must run before those that have both.
 func TestSoundPrefixOfPoisonRequestsIsCleared(t *testing.T) {
