--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -159,8 +159,8 @@
 			retry = minRetryDelay
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
-			d.log.WithError(err).WithField("store-position", d.currentPosition().String()).Warn("Store history is not available; the store is listed again.")
+		if message := listReason(err); message != "" {
+			d.log.WithField("store-position", d.currentPosition().String()).Warn(message)
 			d.requireList()
 			sleep(ctx, minRetryDelay)
 			continue
@@ -176,6 +176,17 @@
 	}
 }
 
+// listReason returns the log message for an error after which the store must be listed, empty for any other.
+func listReason(err error) string {
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		return "Store history was compacted; the store is listed again."
+	case errors.Is(err, store.ErrRestored):
+		return "Store is in another era; the store is listed again."
+	}
+	return ""
+}
+
 // readStore makes one call to the store and applies the result.
 func (d *Controller) readStore(ctx context.Context) error {
 	position := d.currentPosition()
--- a/internal/control/discovery/restore.go
+++ b/internal/control/discovery/restore.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// copyDoubt is how long, after the store was restored from an older copy, what this host knows of an entry
+	// restoreGrace is how long, after the store was restored from an older copy, what this host knows of an entry
 	// outranks an earlier state of it in the copy. In that time its owner writes the entry again, or it lapses.
-	copyDoubt = 6 * time.Second
-	// doubtListInterval is the time between two lists of the store while entries of the copy are held back. A random
+	restoreGrace = 6 * time.Second
+	// restoreListInterval is the time between two lists of the store while entries of the copy are held back. A random
 	// part of up to the same time is added, so that not all hosts list at once.
-	doubtListInterval = 500 * time.Millisecond
+	restoreListInterval = 500 * time.Millisecond
 	// fullListTime is how long after a restore peers get all items, because positions of entries that were held
 	// back do not tell which of them a peer has applied.
 	fullListTime = 15 * time.Second
@@ -52,7 +52,7 @@
 }
 
 func (r *restoreState) scheduleList(now time.Time) {
-	r.listAt = now.Add(doubtListInterval + rand.N(doubtListInterval))
+	r.listAt = now.Add(restoreListInterval + rand.N(restoreListInterval))
 }
 
 // keepOnly forgets the entries that are not in the latest list.
@@ -75,13 +75,13 @@
 }
 
 // holdsBack reports whether a listed entry is not applied for now: it comes from an older copy, and this host knows a
-// later state of it. It is applied once its owner has written it again, or after copyDoubt. The caller must hold
+// later state of it. It is applied once its owner has written it again, or after restoreGrace. The caller must hold
 // d.mu.
 func (d *Controller) holdsBack(now time.Time, i store.Item) bool {
 	if at, found := d.restore.heldBack[i.Key]; found {
-		return i.Position == at && now.Sub(d.restore.at) < copyDoubt
+		return i.Position == at && now.Sub(d.restore.at) < restoreGrace
 	}
-	if !d.isOlderState(i) || now.Sub(d.restore.at) >= copyDoubt {
+	if !d.isOlderState(i) || now.Sub(d.restore.at) >= restoreGrace {
 		return false
 	}
 	d.restore.heldBack[i.Key] = i.Position
--- a/internal/control/discovery/restore_test.go
+++ b/internal/control/discovery/restore_test.go
@@ -121,8 +121,8 @@
 		rewrite bool
 		after   time.Duration
 	}{
-		{"written again", true, 2*doubtListInterval + watchTimeout},
-		{"not written again, and still listed", false, copyDoubt + 2*doubtListInterval + watchTimeout},
+		{"written again", true, 2*restoreListInterval + watchTimeout},
+		{"not written again, and still listed", false, restoreGrace + 2*restoreListInterval + watchTimeout},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
