control/discovery: peers get entries that were held back with the changes, not all items for some seconds

Read in the diff: for 15 s after a restore each read from a peer sent all items, which grows with the targets times the hosts. An entry that is believed at last gets the position of the list instead.

--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -329,9 +329,7 @@
 	changed := false
 	for _, i := range items {
 		listed[i.Key] = true
-		if !d.holdsBack(time.Now(), i) {
-			changed = d.applyItem(i) || changed
-		}
+		changed = d.applyListed(i) || changed
 	}
 	for key := range d.cache.items {
 		if !listed[key] {
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -55,8 +55,8 @@
 }
 
 // Items returns the changes after a revision of an era, which are given as the texts of the query parameters. It
-// returns all items if the revision is not a number or too old, or the store was restored lately. Without an era,
-// as earlier builds ask, that of this host is meant.
+// returns all items if the revision is not a number, too old, or of another era. Without an era, as earlier builds
+// ask, that of this host is meant.
 func (d *Controller) Items(sinceText, eraText string) Items {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -86,8 +86,7 @@
 
 // changesAfter returns the changes that a peer lacks and true, or all items and false.
 func (d *Controller) changesAfter(after store.Position) ([]store.Item, bool) {
-	wasRestored := !d.restore.at.IsZero() && time.Since(d.restore.at) < fullListTime
-	if wasRestored || after.Era() != d.position.Era() {
+	if after.Era() != d.position.Era() {
 		return d.cache.all(), false
 	}
 	return d.cache.changesAfter(after)
--- a/internal/control/discovery/restore.go
+++ b/internal/control/discovery/restore.go
@@ -18,9 +18,6 @@
 	// restoreListInterval is the time between two lists of the store while entries of the copy are held back. A random
 	// part of up to the same time is added, so that not all hosts list at once.
 	restoreListInterval = 500 * time.Millisecond
-	// fullListTime is how long after a restore peers get all items, because positions of entries that were held
-	// back do not tell which of them a peer has applied.
-	fullListTime = 15 * time.Second
 )
 
 // restoreState is what a host remembers of the last restore of the store from an older copy.
@@ -74,6 +71,19 @@
 	d.restore.scheduleList(now)
 }
 
+// applyListed applies a listed item unless it is held back, and reports whether the board must be updated. An entry
+// that was held back gets the position of the list, so that peers that have read this host before get it, too. The
+// caller must hold d.mu.
+func (d *Controller) applyListed(i store.Item) bool {
+	if d.holdsBack(time.Now(), i) {
+		return false
+	}
+	if _, wasHeldBack := d.restore.heldBack[i.Key]; wasHeldBack {
+		i.Position = d.position
+	}
+	return d.applyItem(i)
+}
+
 // holdsBack reports whether a listed entry is not applied for now: it comes from an older copy, and this host knows a
 // later state of it. It is applied once its owner has written it again, or after restoreGrace. The caller must hold
 // d.mu.
