--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -29,6 +29,7 @@
 	"refused": runRefused,
 	"path":    runPath,
 	"burst":   runBurst,
+	"stop":    runStop,
 }
 
 func main() {
