--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -143,10 +143,20 @@
 		if ctx.Err() != nil || !d.stillLacks(peer) {
 			continue
 		}
-		if err := d.readPeer(ctx, peer); err != nil {
-			d.common.CountRetry("peer-read")
-			d.log.WithError(err).WithField("peer", peer.url).Info("Read from peer failed.")
-		}
+		d.readPeerOnce(ctx, peer)
+	}
+}
+
+// readPeerOnce reads a peer and records how long that took and how much it sent.
+func (d *Controller) readPeerOnce(ctx context.Context, peer newerPeer) {
+	startedAt := time.Now()
+	size, err := d.readPeer(ctx, peer)
+	elapsed := time.Since(startedAt)
+	d.common.Metrics.Counter("peer_read_bytes").Inc(size)
+	d.common.Metrics.Timer("peer_read_time").Record(elapsed)
+	if err != nil {
+		d.common.CountRetry("peer-read")
+		d.log.WithError(err).WithFields(logrus.Fields{"peer": peer.url, "bytes": size, "read-ms": elapsed.Milliseconds(), "store-position": peer.position.String()}).Info("Read from peer failed.")
 	}
 }
 
@@ -199,7 +209,8 @@
 	return min(maxUnconfirmedAge-time.Since(d.confirmedAt), d.restore.timeUntilList(time.Now()))
 }
 
-func (d *Controller) readPeer(ctx context.Context, peer newerPeer) error {
+// readPeer reads and applies the items of a peer and returns the number of bytes that the peer has sent.
+func (d *Controller) readPeer(ctx context.Context, peer newerPeer) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	position := d.currentPosition()
@@ -212,23 +223,37 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, peer.url+wire.ItemsPath+"?"+query.Encode(), nil)
 	if err != nil {
-		return fmt.Errorf("read peer: %w", err)
+		return 0, fmt.Errorf("read peer: %w", err)
 	}
 	request.Header.Set(wire.KeyHeader, d.common.Settings.Peers.Key)
 	response, err := d.peers.Do(request)
 	if err != nil {
-		return fmt.Errorf("read peer: %w", err)
+		return 0, fmt.Errorf("read peer: %w", err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("read peer: status %d", response.StatusCode)
+		return 0, fmt.Errorf("read peer: status %d", response.StatusCode)
 	}
 	var items Items
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxItemsBytes)).Decode(&items); err != nil {
-		return fmt.Errorf("decode items of peer: %w", err)
+	body := &countingReader{Reader: io.LimitReader(response.Body, maxItemsBytes)}
+	if err := json.NewDecoder(body).Decode(&items); err != nil {
+		return body.size, fmt.Errorf("decode items of peer: %w", err)
 	}
 	d.applyPeerItems(items, peer.url)
-	return nil
+	return body.size, nil
+}
+
+// countingReader counts the bytes that are read through it.
+type countingReader struct {
+	io.Reader
+	size int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(buffer []byte) (int, error) {
+	n, err := r.Reader.Read(buffer)
+	r.size += int64(n)
+	return n, err
 }
 
 // applyPeerItems applies the items of a peer if their position is later, and their configuration if that is.
