--- a/internal/peer/http2/client.go
+++ b/internal/peer/http2/client.go
@@ -2,6 +2,7 @@
 package http2
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -17,6 +18,7 @@
 	timeout time.Duration
 	idle    time.Duration
 	config  *tls.Config
+	dial    Dial
 	current atomic.Pointer[http.Client]
 }
 
@@ -26,12 +28,22 @@
 	return newClient(timeout, idleTimeout, config)
 }
 
+// Dial opens a connection to an address, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewWithDial creates a client without TLS that opens its connections with dial.
+func NewWithDial(timeout time.Duration, dial Dial) *Client {
+	c := &Client{timeout: timeout, idle: idleTimeout, dial: dial}
+	c.current.Store(c.newHTTPClient())
+	return c
+}
+
 // idleTimeout is the time after which an unused connection is closed. It is longer than the time
 // between two heartbeats to a neighbour.
 const idleTimeout = 5 * time.Second
 
 func newClient(timeout, idle time.Duration, config *tls.Config) *Client {
-	c := &Client{timeout: timeout, idle: idle, config: config}
+	c := &Client{timeout: timeout, idle: idle, config: config, dial: (&net.Dialer{Timeout: timeout}).DialContext}
 	c.current.Store(c.newHTTPClient())
 	return c
 }
@@ -40,9 +52,8 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP2(true)
-	dialer := &net.Dialer{Timeout: c.timeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           c.dial,
 		TLSClientConfig:       c.config,
 		Protocols:             protocols,
 		ResponseHeaderTimeout: c.timeout,
