--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"redwinglock/internal/control/member"
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/platform/store"
 	"redwinglock/internal/state/object"
@@ -29,7 +29,7 @@
 	// peerReadDelay is how long a watching host waits for changes from the store before it reads
 	// them from a peer.
 	peerReadDelay = 300 * time.Millisecond
-	// peerTimeout bounds the read from a peer.
+	// peerTimeout bounds the time until a peer answers, and any silence in its answer.
 	peerTimeout = 500 * time.Millisecond
 	// maxItemsBytes bounds the size of a response from a peer.
 	maxItemsBytes = 32 << 20
@@ -211,8 +211,8 @@
 
 // readPeer reads and applies the items of a peer and returns the number of bytes that the peer has sent.
 func (d *Controller) readPeer(ctx context.Context, peer newerPeer) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+	ctx, transfer := body.NewTransfer(ctx, peerTimeout, peerTimeout)
+	defer transfer.Close()
 	position := d.currentPosition()
 	if peer.position <= position {
 		position = 0 // The peer has a later configuration, whose position does not tell that.
@@ -228,32 +228,18 @@
 	request.Header.Set(wire.KeyHeader, d.common.Settings.Peers.Key)
 	response, err := d.peers.Do(request)
 	if err != nil {
-		return 0, fmt.Errorf("read peer: %w", err)
+		return 0, fmt.Errorf("read peer: %w", transfer.Err(err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("read peer: status %d", response.StatusCode)
 	}
 	var items Items
-	body := &countingReader{Reader: io.LimitReader(response.Body, maxItemsBytes)}
-	if err := json.NewDecoder(body).Decode(&items); err != nil {
-		return body.size, fmt.Errorf("decode items of peer: %w", err)
+	if err := json.NewDecoder(transfer.Reader(response.Body, maxItemsBytes)).Decode(&items); err != nil {
+		return transfer.Size(), fmt.Errorf("decode items of peer: %w", err)
 	}
 	d.applyPeerItems(items, peer.url)
-	return body.size, nil
-}
-
-// countingReader counts the bytes that are read through it.
-type countingReader struct {
-	io.Reader
-	size int64
-}
-
-// Read implements io.Reader.
-func (r *countingReader) Read(buffer []byte) (int, error) {
-	n, err := r.Reader.Read(buffer)
-	r.size += int64(n)
-	return n, err
+	return transfer.Size(), nil
 }
 
 // applyPeerItems applies the items of a peer if their position is later, and their configuration if that is.
