--- a/internal/control/discovery/cache.go
+++ b/internal/control/discovery/cache.go
@@ -17,16 +17,19 @@
 	// deletionsFrom is the position from which deletions are complete. A peer at an older
 	// position needs all items.
 	deletionsFrom store.Position
+	// values holds the large values among the items for peers.
+	values *valueCache
 }
 
-func newItemCache() *itemCache {
-	return &itemCache{items: map[string]store.Item{}, deleted: map[string]store.Position{}}
+func newItemCache(values *valueCache) *itemCache {
+	return &itemCache{items: map[string]store.Item{}, deleted: map[string]store.Position{}, values: values}
 }
 
 // put stores an item and reports whether its data has changed.
 func (c *itemCache) put(i store.Item) bool {
 	previous, exists := c.items[i.Key]
 	c.items[i.Key] = i
+	c.values.put(i)
 	delete(c.deleted, i.Key)
 	return !exists || !bytes.Equal(previous.Data, i.Data)
 }
--- a/internal/control/discovery/config.go
+++ b/internal/control/discovery/config.go
@@ -38,12 +38,17 @@
 	return true
 }
 
-// publish puts the active configuration with the current targets and rollouts on the board. The
+// publish puts the active configuration with the current targets and rollouts on the board. The first time, it waits
+// until no later configuration is known, because this host may have used that before it was started again. The
 // caller must hold d.mu.
 func (d *Controller) publish() {
 	if d.base == nil || d.confirmedAt.IsZero() {
 		return
 	}
+	if !d.published && d.fetches.wants(d.translator.ConfigKey()) > 0 {
+		return
+	}
+	d.published = true
 	d.targetRevision++
 	targets := make([]*object.Target, 0, len(d.targets))
 	for _, t := range d.targets {
--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -73,6 +74,12 @@
 	peers *http2.Client
 	// newerPeers receives a peer that has a newer store revision.
 	newerPeers chan newerPeer
+	// values holds large values for peers.
+	values *valueCache
+	// transfers is the number of large values that are being sent.
+	transfers atomic.Int64
+	// fetchesChanged wakes the fetching of large values after a change of fetches.
+	fetchesChanged chan struct{}
 
 	mu sync.Mutex
 	// position is the position in the store up to which changes were applied, whether they came from
@@ -84,9 +91,13 @@
 	confirmedAt time.Time
 	startedAt   time.Time
 	cache       *itemCache
-	base        *object.Snapshot // Without discovered targets.
-	targets     map[string]*object.Target
-	rollouts    rollouts
+	// fetches plans the reads of large values that this host lacks, though it has applied their positions.
+	fetches *fetchPlan
+	// published is set when the board has got the first configuration.
+	published bool
+	base      *object.Snapshot // Without discovered targets.
+	targets   map[string]*object.Target
+	rollouts  rollouts
 	// removeAt holds, by key, when targets whose entries were deleted around an outage are
 	// removed.
 	removeAt map[string]time.Time
@@ -109,6 +120,7 @@
 // New creates a controller and starts it.
 func New(c *common.Common, b *board.Board, tree store.Tree, translator Translator, peers *http2.Client) *Controller {
 	ctx, stop := context.WithCancel(context.Background())
+	values := newValueCache()
 	d := &Controller{
 		common:         c,
 		log:            c.Log("discovery"),
@@ -117,7 +129,10 @@
 		translator:     translator,
 		peers:          peers,
 		newerPeers:     make(chan newerPeer, 1),
-		cache:          newItemCache(),
+		values:         values,
+		fetchesChanged: make(chan struct{}, 1),
+		cache:          newItemCache(values),
+		fetches:        newFetchPlan(),
 		targets:        map[string]*object.Target{},
 		rollouts:       newRollouts(),
 		removeAt:       map[string]time.Time{},
@@ -129,6 +144,7 @@
 	d.done.Go(func() { d.run(ctx) })
 	d.done.Go(func() { d.runExpiry(ctx) })
 	d.done.Go(func() { d.readPeers(ctx) })
+	d.done.Go(func() { d.fetchValues(ctx) })
 	return d
 }
 
@@ -225,7 +241,7 @@
 		return nil // A peer has sent newer changes in the meantime.
 	}
 	d.setPosition(listed)
-	d.applyList(items)
+	d.applyList(items, nil)
 	return nil
 }
 
@@ -318,14 +334,17 @@
 		return
 	}
 	d.setPosition(listed)
-	d.applyList(items)
+	d.applyList(items, nil)
 	d.setConfirmed(time.Now())
 }
 
-// applyList applies a list of the whole store; cached keys that are not in it were deleted. The
-// caller must hold d.mu.
-func (d *Controller) applyList(items []store.Item) {
-	listed := make(map[string]bool, len(items))
+// applyList applies a list of the whole store, in which some large values are only described; cached keys that are
+// not in it were deleted. The caller must hold d.mu.
+func (d *Controller) applyList(items []store.Item, values []Value) {
+	listed := make(map[string]bool, len(items)+len(values))
+	for _, v := range values {
+		listed[v.Key] = true
+	}
 	changed := false
 	for _, i := range items {
 		listed[i.Key] = true
@@ -368,6 +387,7 @@
 
 // applyItem applies one item and reports whether the board must be updated.
 func (d *Controller) applyItem(i store.Item) bool {
+	d.fetches.received(time.Now(), i.Key, i.Position)
 	known := d.cache.position(i.Key)
 	if i.Key == d.translator.ConfigKey() {
 		isOutdated := i.Position < known && i.Position.Era() == known.Era()
--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -244,7 +244,7 @@
 
 func TestItemsReturnsAllOrTheRequestedChanges(t *testing.T) {
 	runWithController(t, func(t *testing.T, f *fixture) {
-		all := f.d.Items("", "")
+		all := f.d.Items("", "", false)
 		require.Equal(t, f.board.Store().Position.Revision(), all.Revision)
 		require.False(t, all.Partial)
 		require.Len(t, all.Items, 2)
@@ -253,7 +253,7 @@
 		f.tree.remove("targets/i-1")
 		waitForBatch()
 		synctest.Wait()
-		changes := f.d.Items(before, "")
+		changes := f.d.Items(before, "", false)
 		require.True(t, changes.Partial)
 		require.Len(t, changes.Items, 2)
 	})
--- a/internal/control/discovery/fleet_test.go
+++ b/internal/control/discovery/fleet_test.go
@@ -82,9 +82,11 @@
 
 // fleet is a number of hosts with membership and discovery, which share a store.
 type fleet struct {
-	tree   *fakeTree
-	boards []*board.Board
-	close  []func()
+	tree    *fakeTree
+	network *link.Network
+	list    fleetList
+	boards  []*board.Board
+	close   []func()
 }
 
 // joinTimeout bounds the time until all hosts of a fleet know each other.
@@ -92,23 +94,19 @@
 
 // newFleet starts hosts with links of the given widths.
 func newFleet(t *testing.T, widths []link.Width) *fleet {
-	f := &fleet{tree: newFakeTree()}
+	f := &fleet{tree: newFakeTree(), network: link.NewNetwork()}
 	f.tree.set("config", largeConfig(1, 10))
 	for i := range 12 {
 		f.tree.set(fmt.Sprint("targets/i-", i), readyTarget)
 	}
-	network := link.NewNetwork()
-	var members []board.Member
-	var list fleetList
 	for i, width := range widths {
 		m := fleetMember(i, width)
-		members = append(members, m)
-		list = append(list, hosts.Group{Labels: map[string]string{
+		f.list = append(f.list, hosts.Group{Labels: map[string]string{
 			hosts.LabelRole: hosts.RoleEntry, hosts.LabelName: m.Name, hosts.LabelZone: string(m.Zone), hosts.LabelState: hosts.StateLive, hosts.LabelPeerURL: m.PeerURL,
 		}})
 	}
-	for i, m := range members {
-		f.startHost(network.AddHost(m.PeerURL[len("http://"):], widths[i]), m, list)
+	for _, width := range widths {
+		f.addHost(width)
 	}
 	t.Cleanup(f.Close)
 	require.Less(t, f.awaitAll(joinTimeout, func(b *board.Board) bool { return len(b.Members().Live) == len(widths) && b.Config() != nil }), joinTimeout, "all hosts know each other")
@@ -117,18 +115,21 @@
 
 func fleetMember(index int, _ link.Width) board.Member {
 	return board.Member{
-		Name: fmt.Sprintf("entry-%02d", index), Zone: object.Zone(fmt.Sprint("zone-", index%3)),
+		Name:     fmt.Sprintf("entry-%02d", index), Zone: object.Zone(fmt.Sprint("zone-", index%3)),
 		PeerURL: fmt.Sprintf("http://10.0.0.%d:7000", index+1),
 	}
 }
 
-func (f *fleet) startHost(host *link.Host, self board.Member, list fleetList) {
+// addHost starts one more host and returns its board.
+func (f *fleet) addHost(width link.Width) *board.Board {
+	self := fleetMember(len(f.boards), width)
+	host := f.network.AddHost(self.PeerURL[len("http://"):], width)
 	c := common.Discard()
 	c.Settings.Peers.HeartbeatInterval = 500 * time.Millisecond
 	b := board.New(self)
 	d := New(c, b, &linkedTree{f.tree, host}, lineTranslator{}, http2.NewWithDial(500*time.Millisecond, host.Dial))
 	transport := &member.HTTPTransport{Client: http2.NewWithDial(500*time.Millisecond, host.Dial)}
-	m := member.NewController(c, b, transport, list, d)
+	m := member.NewController(c, b, transport, f.list, d)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: fleetHandler(m, d), Protocols: protocols}
@@ -145,6 +146,7 @@
 		_ = server.Close()
 		<-served
 	})
+	return b
 }
 
 // fleetHandler serves heartbeats and reads of items.
@@ -158,9 +160,8 @@
 		}
 		_ = json.NewEncoder(w).Encode(m.Answer(h))
 	})
-	mux.HandleFunc(wire.ItemsPath, func(w http.ResponseWriter, r *http.Request) {
-		_ = json.NewEncoder(w).Encode(d.Items(r.URL.Query().Get("since"), r.URL.Query().Get("era")))
-	})
+	mux.HandleFunc(wire.ItemsPath, d.ServeItems)
+	mux.HandleFunc(wire.ValuePath, d.ServeValue)
 	return mux
 }
 
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -31,12 +31,17 @@
 	peerReadDelay = 300 * time.Millisecond
 	// peerTimeout bounds the time until a peer answers, and any silence in its answer.
 	peerTimeout = 500 * time.Millisecond
-	// maxItemsBytes bounds the size of a response from a peer.
-	maxItemsBytes = 32 << 20
+	// maxItemsBytes bounds the size of the changes from a peer, and maxValueBytes that of a large value.
+	maxItemsBytes = 8 << 20
+	maxValueBytes = 4 << 20
 	// sinceParameter and eraParameter are the query parameters for the revision, and its era, after which changes are
 	// requested. Earlier builds send no era.
 	sinceParameter = "since"
 	eraParameter   = "era"
+	// valuesParameter is set to valuesApart by hosts that read large values apart. Earlier builds get them with the
+	// other changes.
+	valuesParameter = "values"
+	valuesApart     = "apart"
 )
 
 // Items is the state of the store, or its latest changes, as one host sends it to another.
@@ -52,17 +57,36 @@
 	// ConfirmedAgeMS is the time since that position was confirmed as the newest.
 	ConfirmedAgeMS int64        `json:"confirmed-age-ms"`
 	Items          []store.Item `json:"items"`
+	// Values describes the items with large values, which the receiver reads apart.
+	Values []Value `json:"values,omitempty"`
+}
+
+// ServeItems sends the items of this host to a peer.
+func (d *Controller) ServeItems(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	items := d.Items(query.Get(sinceParameter), query.Get(eraParameter), query.Get(valuesParameter) == valuesApart)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(items) // The peer may have disconnected; it asks again.
 }
 
 // Items returns the changes after a revision of an era, which are given as the texts of the query parameters. It
 // returns all items if the revision is not a number, too old, or of another era. Without an era, as earlier builds
-// ask, that of this host is meant.
-func (d *Controller) Items(sinceText, eraText string) Items {
+// ask, that of this host is meant. With apart, large values are only described.
+func (d *Controller) Items(sinceText, eraText string, apart bool) Items {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changes, partial := d.changesAfter(d.parsePosition(sinceText, eraText))
+	after := d.parsePosition(sinceText, eraText)
+	changes, partial := d.changesAfter(after)
+	position := d.position
+	var values []Value
+	if apart {
+		changes, values = d.separateValues(changes, after, partial)
+	} else {
+		// A peer that has a position does not ask for what was before it.
+		position = min(position, d.fetches.completeUntil(position))
+	}
 	items := Items{
-		Era: d.position.Era(), Revision: d.position.Revision(), Partial: partial, Items: changes,
+		Era: position.Era(), Revision: position.Revision(), Partial: partial, Items: changes, Values: values,
 		ConfirmedAgeMS: time.Since(d.confirmedAt).Milliseconds(),
 	}
 	if !d.lastOutageAt.IsZero() {
@@ -71,6 +95,28 @@
 	return items
 }
 
+// separateValues replaces the large values among changes by descriptions, and adds those that this host lacks itself.
+// The caller must hold d.mu.
+func (d *Controller) separateValues(changes []store.Item, after store.Position, partial bool) ([]store.Item, []Value) {
+	inline := make([]store.Item, 0, len(changes))
+	var values []Value
+	for _, i := range changes {
+		switch {
+		case d.fetches.wants(i.Key) > i.Position: // Described below.
+		case isLarge(i) && d.values.digest(i.Key) != "":
+			values = append(values, describe(i, d.values.digest(i.Key), ""))
+		default:
+			inline = append(inline, i)
+		}
+	}
+	for _, v := range d.fetches.descriptions() {
+		if !partial || v.position() > after {
+			values = append(values, v)
+		}
+	}
+	return inline, values
+}
+
 // parsePosition returns the position that a peer has read, 0 if it has none.
 func (d *Controller) parsePosition(sinceText, eraText string) store.Position {
 	revision, err := strconv.ParseInt(sinceText, 10, 64)
@@ -98,6 +144,10 @@
 	peer := newerPeer{peerURL, reported.StorePosition, reported.ConfigRevision}
 	d.mu.Lock()
 	isNewer := d.lacks(peer)
+	if d.lacksConfig(peer.config) {
+		d.fetches.addSource(time.Now(), d.translator.ConfigKey(), peerURL)
+		d.notifyFetches()
+	}
 	if confirmed := time.Now().Add(-reported.StoreAge); reported.StorePosition == d.position && reported.StorePosition > 0 && confirmed.After(d.confirmedAt) {
 		d.setConfirmed(confirmed)
 	}
@@ -119,9 +169,11 @@
 }
 
 // lacks reports whether this host lacks what a peer has. The configuration is compared too, because a store that was
-// restored holds an older one until the operator writes it again. The caller must hold d.mu.
+// restored holds an older one until the operator writes it again. One that is being fetched is not lacking. The caller
+// must hold d.mu.
 func (d *Controller) lacks(peer newerPeer) bool {
-	return peer.position > d.position || peer.position > 0 && d.lacksConfig(peer.config)
+	isFetched := d.fetches.wants(d.translator.ConfigKey()) > 0
+	return peer.position > d.position || peer.position > 0 && d.lacksConfig(peer.config) && !isFetched
 }
 
 func (d *Controller) lacksConfig(revision object.Revision) bool {
@@ -220,6 +272,8 @@
 	query := url.Values{
 		sinceParameter: {strconv.FormatInt(position.Revision(), 10)},
 		eraParameter:   {strconv.FormatInt(int64(position.Era()), 10)},
+		// Named last, because earlier builds ignore it.
+		valuesParameter: {valuesApart},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, peer.url+wire.ItemsPath+"?"+query.Encode(), nil)
 	if err != nil {
@@ -248,7 +302,7 @@
 	defer d.mu.Unlock()
 	position := store.NewPosition(items.Era, items.Revision)
 	if position <= d.position {
-		d.applyPeerConfig(items.Items)
+		d.applyPeerConfig(items, peerURL)
 		return
 	}
 	d.log.WithFields(logrus.Fields{"peer": peerURL, "store-position": position.String(), "was": d.position.String(), "items": len(items.Items)}).Info("State of the store taken from a peer.")
@@ -262,7 +316,10 @@
 	if items.Partial {
 		d.applyChanges(items.Items)
 	} else {
-		d.applyList(items.Items)
+		d.applyList(items.Items, items.Values)
+	}
+	for _, v := range items.Values {
+		d.applyDescribed(v, peerURL)
 	}
 	if confirmed := time.Now().Add(-time.Duration(items.ConfirmedAgeMS) * time.Millisecond); confirmed.After(d.confirmedAt) {
 		d.setConfirmed(confirmed)
@@ -271,10 +328,32 @@
 
 // applyPeerConfig applies the configuration among the items of a peer if it is later than the one in force. The caller
 // must hold d.mu.
-func (d *Controller) applyPeerConfig(items []store.Item) {
-	for _, i := range items {
+func (d *Controller) applyPeerConfig(items Items, peerURL string) {
+	for _, i := range items.Items {
 		if i.Key == d.translator.ConfigKey() && d.applyItem(i) {
 			d.publish()
 		}
 	}
+	for _, v := range items.Values {
+		if v.Key == d.translator.ConfigKey() {
+			d.applyDescribed(v, peerURL)
+		}
+	}
+}
+
+// applyDescribed applies a large value that a peer describes if this host has the same value, and fetches it
+// otherwise. The caller must hold d.mu.
+func (d *Controller) applyDescribed(value Value, peerURL string) {
+	known := d.cache.position(value.Key)
+	if value.position() <= known && value.Era == known.Era() {
+		return
+	}
+	if value.Digest == d.values.digest(value.Key) {
+		d.applyChanges([]store.Item{{Key: value.Key, Data: d.cache.items[value.Key].Data, Position: value.position()}})
+		return
+	}
+	if value.Source == "" {
+		value.Source = peerURL
+	}
+	d.want(value)
 }
--- a/internal/control/discovery/restore_test.go
+++ b/internal/control/discovery/restore_test.go
@@ -144,7 +144,7 @@
 				read := f.d.currentPosition()
 				time.Sleep(row.after)
 				require.Equal(t, []object.TargetName{"i-1"}, f.targets())
-				changes := f.d.Items(strconv.FormatInt(read.Revision(), 10), strconv.FormatInt(int64(read.Era()), 10))
+				changes := f.d.Items(strconv.FormatInt(read.Revision(), 10), strconv.FormatInt(int64(read.Era()), 10), false)
 				require.True(t, changes.Partial)
 				require.Equal(t, row.rewrite, len(changes.Items) == 1, "a peer that has read this host before gets it")
 				lists := f.tree.listCount()
@@ -206,7 +206,7 @@
 			{"nothing", "", "", false},
 		}
 		for _, row := range rows {
-			got := f.d.Items(row.since, row.era)
+			got := f.d.Items(row.since, row.era, false)
 			require.Equal(t, row.partial, got.Partial, row.name)
 			require.Equal(t, store.Era(2), got.Era, row.name)
 		}
--- a/internal/control/host/peers.go
+++ b/internal/control/host/peers.go
@@ -48,9 +48,10 @@
 	return router
 }
 
-// serveItems adds the route from which peers read this host's copy of the platform's store.
+// serveItems adds the routes from which peers read this host's copy of the platform's store.
 func serveItems(router *gin.Engine, d *discovery.Controller) http.Handler {
-	router.GET(wire.ItemsPath, func(c *gin.Context) { c.JSON(http.StatusOK, d.Items(c.Query("since"), c.Query("era"))) })
+	router.GET(wire.ItemsPath, gin.WrapF(d.ServeItems))
+	router.GET(wire.ValuePath, gin.WrapF(d.ServeValue))
 	return router
 }
 
--- a/internal/peer/wire/stream.go
+++ b/internal/peer/wire/stream.go
@@ -15,6 +15,7 @@
 	HeartbeatPath = "/peer/v1/heartbeat"
 	ConfigPath    = "/peer/v1/config"
 	ItemsPath     = "/peer/v1/items"
+	ValuePath     = "/peer/v1/value"
 
 	// KeyHeader carries the key shared by all entry hosts.
 	KeyHeader = "X-Redwinglock-Peer-Key"
--- a/internal/standin/link/network.go
+++ b/internal/standin/link/network.go
@@ -71,7 +71,11 @@
 }
 
 // Receive blocks as long as the host's link takes to receive bytes from a sender with a link of no limit.
-func (h *Host) Receive(bytes int) { time.Sleep(time.Until(h.down.reserve(bytes))) }
+func (h *Host) Receive(bytes int) {
+	for ; bytes > 0; bytes -= segmentBytes {
+		time.Sleep(time.Until(h.down.reserve(min(bytes, segmentBytes))))
+	}
+}
 
 // Accept implements net.Listener.
 func (h *Host) Accept() (net.Conn, error) {
