--- a/internal/control/discovery/fleet_test.go
+++ b/internal/control/discovery/fleet_test.go
@@ -113,8 +113,9 @@
 	return f
 }
 
-func fleetMember(index int, _ link.Width) board.Member {
+func fleetMember(index int, width link.Width) board.Member {
 	return board.Member{
+		LinkMbps: float64(width / link.Mbit),
 		Name:     fmt.Sprintf("entry-%02d", index), Zone: object.Zone(fmt.Sprint("zone-", index%3)),
 		PeerURL: fmt.Sprintf("http://10.0.0.%d:7000", index+1),
 	}
--- a/internal/control/discovery/hosts.go
+++ b/internal/control/discovery/hosts.go
@@ -281,10 +281,10 @@
 	return zone
 }
 
-// withoutVolatileFields clears the fields that change while a host runs or when it restarts, so
-// that such a change does not cause a write of the list.
+// withoutVolatileFields clears the fields that change while a host runs or when it restarts, or that earlier builds do
+// not know, so that these do not cause a write of the list.
 func withoutVolatileFields(m board.Member) board.Member {
-	m.Run, m.Capacity = "", 0
+	m.Run, m.Capacity, m.LinkMbps = "", 0, 0
 	return m
 }
 
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -220,7 +220,7 @@
 
 // isWatcher reports whether this host is one of those that watch the store.
 func (d *Controller) isWatcher() bool {
-	return d.board.Members().IsSelected(watchTask, watchers)
+	return d.board.Members().IsSelectedByLink(watchTask, watchers)
 }
 
 // waitUntilReadDue waits until this host must call the store, because it is one of the watching
--- a/internal/control/discovery/values_test.go
+++ b/internal/control/discovery/values_test.go
@@ -105,7 +105,7 @@
 		f.tree.set("targets/i-1", readyTarget)
 		members := &board.Members{Self: f.board.Members().Self, Live: []board.Member{f.board.Members().Self}}
 		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
-			members.Live = append(members.Live, board.Member{Name: name})
+			members.Live = append(members.Live, board.Member{Name: name, LinkMbps: 100})
 		}
 		f.board.SetMembers(members)
 		f.board.SetJoined()
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -26,6 +26,8 @@
 	CallerURL string `json:"caller-url"`
 	// Capacity is the number of processor cores that the host may use, 0 if not known.
 	Capacity float64 `json:"capacity,omitempty"`
+	// LinkMbps is the width of the host's link in Mbit/s, 0 if not known.
+	LinkMbps float64 `json:"link-mbps,omitempty"`
 	// Leaving members finish their requests and accept no new ones.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -308,4 +310,37 @@
 	return higher < n
 }
 
+// minLinkShare is the fraction of the widest link of a live host that counts as a wide link.
+const minLinkShare = 0.5
+
+// IsSelectedByLink is like IsSelected for a task that needs a wide link. Hosts with narrow links are selected only if
+// there are fewer than n others.
+func (m *Members) IsSelectedByLink(task string, n int) bool {
+	minLink := m.maxLink() * minLinkShare
+	isWide := m.Self.LinkMbps >= minLink
+	ownHash := rendezvousHash(task, m.Self.Name)
+	before := 0
+	for _, member := range m.Live {
+		if member.Leaving || member.Name == m.Self.Name {
+			continue
+		}
+		memberIsWide := member.LinkMbps >= minLink
+		if memberIsWide && !isWide || memberIsWide == isWide && rendezvousHash(task, member.Name) > ownHash {
+			before++
+		}
+	}
+	return before < n
+}
+
+// maxLink returns the widest link of a live host that is not leaving.
+func (m *Members) maxLink() float64 {
+	widest := 0.0
+	for _, member := range m.Live {
+		if !member.Leaving {
+			widest = max(widest, member.LinkMbps)
+		}
+	}
+	return widest
+}
+
 func rendezvousHash(task, host string) uint64 { return digest.Of(host, task) }
--- a/internal/state/board/board_test.go
+++ b/internal/state/board/board_test.go
@@ -91,6 +91,42 @@
 	require.Equal(t, 3, chosen)
 }
 
+// TestHostsWithWideLinksAreSelectedFirst selects hosts for a task that moves much data. Hosts of an earlier build do not
+// tell their links.
+func TestHostsWithWideLinksAreSelectedFirst(t *testing.T) {
+	tests := []struct {
+		name    string
+		links   map[string]float64
+		leaving string
+		want    []string // Names that must be selected; further ones are any others.
+	}{
+		{"no link is known", map[string]float64{}, "", nil},
+		{"enough wide links", map[string]float64{"a": 200, "b": 200, "c": 150, "d": 10, "e": 10, "f": 10}, "", []string{"a", "b", "c"}},
+		{"few wide links", map[string]float64{"a": 10, "b": 10, "c": 10, "d": 10, "e": 10, "f": 200}, "", []string{"f"}},
+		{"the only wide link is leaving", map[string]float64{"a": 10, "b": 10, "c": 10, "d": 10, "e": 10, "f": 200}, "f", nil},
+		{"some links are not known", map[string]float64{"a": 200, "b": 200}, "", []string{"a", "b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			names := []string{"a", "b", "c", "d", "e", "f"}
+			var selected []string
+			for i := range names {
+				m := newMembers(names...)
+				for k := range m.Live {
+					m.Live[k].LinkMbps = test.links[m.Live[k].Name]
+					m.Live[k].Leaving = m.Live[k].Name == test.leaving
+				}
+				m.Self = m.Live[i]
+				if !m.Self.Leaving && m.IsSelectedByLink("duty", 3) {
+					selected = append(selected, m.Self.Name)
+				}
+			}
+			require.Len(t, selected, 3)
+			require.Subset(t, selected, test.want)
+		})
+	}
+}
+
 func TestChangedIsClosedByEachChange(t *testing.T) {
 	b := New(Member{Name: "a"})
 	changes := []func(){
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -25,6 +25,8 @@
 	Zone object.Zone `yaml:"zone"`
 	// Capacity is the number of processor cores that this host may use. Zero: not known.
 	Capacity float64 `yaml:"capacity"`
+	// LinkMbps is the width of the host's link in Mbit/s. Zero: not known.
+	LinkMbps float64 `yaml:"link-mbps"`
 	// MemoryMB is the memory limit of the host in MiB. Garbage is collected more often when
 	// two thirds of it are in use. Zero: not known.
 	MemoryMB  int64     `yaml:"memory-mb"`
@@ -222,6 +224,9 @@
 func (c *checker) check(s *Settings) {
 	c.require(s.Host, "host")
 	c.require(string(s.Zone), "zone")
+	if s.LinkMbps < 0 {
+		c.addError("is negative", "link-mbps")
+	}
 	if s.Capacity < 0 {
 		c.addError("is negative", "capacity")
 	}
