--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -117,23 +117,32 @@
 	sends.Wait()
 }
 
-// runHeartbeats probes some neighbours in each interval, and immediately when this host has a new
-// revision of the configuration or of the platform's store.
+// secondRoundDelay is the time after a change at which it is announced to further neighbours. The first round does
+// not reach every host, and the last ones would wait for the next interval.
+const secondRoundDelay = 100 * time.Millisecond
+
+// runHeartbeats probes some neighbours in each interval, and twice when this host has a new revision of the
+// configuration or of the platform's store: immediately, and when no other change has followed for secondRoundDelay.
 func (m *Controller) runHeartbeats(ctx context.Context) {
 	interval := m.common.Settings.Peers.HeartbeatInterval
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	announced := m.stateRevisions()
+	secondRound := time.NewTimer(secondRoundDelay)
+	defer secondRound.Stop()
 	for {
 		changed := m.board.Changed()
 		if current := m.stateRevisions(); current != announced {
 			announced = current
 			m.probeRound(ctx)
+			secondRound.Reset(secondRoundDelay)
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-secondRound.C:
+			m.probeRound(ctx)
 		case <-ticker.C:
 			m.probeRound(ctx)
 			m.expire(interval)
