--- a/internal/bench/capacity/config.go
+++ b/internal/bench/capacity/config.go
@@ -11,6 +11,7 @@
 
 	"redwinglock/internal/control/catalog"
 	"redwinglock/internal/fleet/engine"
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/platform/store"
 	standinengine "redwinglock/internal/standin/engine"
 	standinstore "redwinglock/internal/standin/store"
@@ -167,7 +168,7 @@
 func streamCPU(tokens int) (float64, error) {
 	server := httptest.NewServer(standinengine.New(standinengine.Settings{}))
 	defer server.Close()
-	client := engine.New(func() {})
+	client := engine.New(body.NewBudget(0, 1), func() {})
 	before := cpuTime()
 	body := fmt.Appendf(nil, `{"model":"m","max_tokens":%d,"prompt":"x"}`, tokens)
 	stream, err := client.Open(context.Background(), engine.Call{
--- a/internal/control/catalog/follower.go
+++ b/internal/control/catalog/follower.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"redwinglock/internal/control/member"
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
@@ -55,7 +56,7 @@
 		common:  c,
 		log:     c.Log("config"),
 		board:   b,
-		http:    &http.Client{Timeout: peerTimeout},
+		http:    &http.Client{Timeout: peerTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}},
 		wake:    make(chan struct{}, 1),
 		stop:    stop,
 	}
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -25,6 +25,7 @@
 	"redwinglock/internal/fleet/engine"
 	"redwinglock/internal/fleet/service"
 	"redwinglock/internal/peer/arbiter"
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/peer/front"
 	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/peer/wire"
@@ -201,14 +202,18 @@
 	return client, nil
 }
 
+// answersMemoryFraction is the fraction of the memory of the host that the answers of targets may use, for each kind of
+// target.
+const answersMemoryFraction = 1.0 / 8
+
 func newEngineClient(lc fx.Lifecycle, c *common.Common) *engine.Client {
-	client := engine.New(func() { c.CountRetry("stream-resumed") })
+	client := engine.New(body.NewBudget(c.Settings.MemoryMB, answersMemoryFraction), func() { c.CountRetry("stream-resumed") })
 	lc.Append(fx.StopHook(client.Close))
 	return client
 }
 
-func newServiceClient(lc fx.Lifecycle) *service.Client {
-	client := service.New()
+func newServiceClient(lc fx.Lifecycle, c *common.Common) *service.Client {
+	client := service.New(body.NewBudget(c.Settings.MemoryMB, answersMemoryFraction))
 	lc.Append(fx.StopHook(client.Close))
 	return client
 }
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -33,6 +33,7 @@
 		return err
 	}
 	answer, err := s.runService(c, r, pool)
+	defer answer.Release()
 	claim.end(err, answer)
 	if err != nil {
 		return err
--- a/internal/entry/caller/site_test.go
+++ b/internal/entry/caller/site_test.go
@@ -17,6 +17,7 @@
 	"redwinglock/internal/fleet/engine"
 	"redwinglock/internal/fleet/service"
 	"redwinglock/internal/peer/arbiter"
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/peer/front"
 	"redwinglock/internal/peer/http2"
 	"redwinglock/internal/platform/claims"
@@ -72,9 +73,9 @@
 	s.board.SetConfig(s.snapshot(engineURL, serve(s.service), o))
 	frontServer := front.New(c, s.board)
 	arbiters := arbiter.New(c, s.board, frontServer, http2.New(time.Second, nil))
-	engines := engine.New(func() {})
+	engines := engine.New(body.NewBudget(0, 1), func() {})
 	claimStore := claims.New(kv, "/test/", time.Hour)
-	s.server = New(c, s.board, arbiters, engines, service.New(), claimStore)
+	s.server = New(c, s.board, arbiters, engines, service.New(body.NewBudget(0, 1)), claimStore)
 	s.url = serve(s.server.Handler())
 	t.Cleanup(func() {
 		require.NoError(t, s.server.Close()) // Before its dependencies, as in a host.
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/state/object"
 )
 
@@ -64,7 +65,7 @@
 	if a.started {
 		return errors.New("plain answer to a stream")
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	content, err := a.readFirst(response.Body)
 	if err != nil {
 		return fmt.Errorf("read answer: %w", err)
 	}
@@ -78,6 +79,19 @@
 	return nil
 }
 
+// readFirst reads a plain answer up to maxBufferedBytes, or less if many answers use the memory for that.
+func (a *answer) readFirst(answered io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(answered, body.SmallBytes))
+	if err != nil || len(content) < body.SmallBytes || a.events.memory.Grow(2*maxBufferedBytes) != nil {
+		return content, err
+	}
+	rest, err := io.ReadAll(io.LimitReader(answered, maxBufferedBytes-body.SmallBytes))
+	return append(content, rest...), err
+}
+
+// close returns the memory that the answer has used.
+func (a *answer) close() { a.events.close() }
+
 // maxBufferedBytes bounds the part of a plain answer that is buffered before anything is sent to
 // the caller.
 const maxBufferedBytes = 64 << 10
--- a/internal/entry/gateway/endless_test.go
+++ b/internal/entry/gateway/endless_test.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/body"
 )
 
 // endless takes over the connection, writes the beginning and then repeats the part until the
@@ -96,3 +100,56 @@
 	require.NoError(t, err)
 	require.Len(t, whole, maxEventBytes-len(part)+2)
 }
+
+// TestManyLargeEventsShareTheMemory sends many streams to targets that begin an event and go on with it slowly, without
+// end. One such event is allowed; all of them together would use the memory of a small host. Other requests are served.
+func TestManyLargeEventsShareTheMemory(t *testing.T) {
+	const (
+		targets     = 60
+		streams     = 3 * targets // Of four slots each.
+		partBytes   = 220 << 10
+		hostMemory  = 112 // MiB
+		maxHeapSize = hostMemory << 20 / 2
+	)
+	handlers := make([]http.HandlerFunc, targets)
+	for i := range handlers {
+		handlers[i] = func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/read/") {
+				answerWith(http.StatusOK, "whole")(w, r)
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, err := w.Write(bytes.Repeat([]byte("x"), partBytes))
+			for err == nil && r.Context().Err() == nil {
+				err = http.NewResponseController(w).Flush()
+				time.Sleep(50 * time.Millisecond)
+				_, _ = w.Write([]byte("x"))
+			}
+		}
+	}
+	s := newSite(t, handlers...)
+	s.server.answers = body.NewBudget(hostMemory, answersMemoryFraction)
+	var sent sync.WaitGroup
+	for range streams {
+		sent.Go(func() {
+			got := s.send("POST", "/fixed/x", "")
+			require.NotEqual(t, http.StatusOK, got.status)
+		})
+	}
+	served := 0
+	peak := uint64(0)
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		if got := s.send("GET", "/read/x", ""); got.status == http.StatusOK {
+			served++
+		}
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		peak = max(peak, stats.HeapAlloc)
+	}
+	require.Less(t, peak, uint64(maxHeapSize))
+	require.Equal(t, 20, served)
+	sent.Wait()
+	require.Zero(t, s.server.answers.Used())
+}
--- a/internal/entry/gateway/events.go
+++ b/internal/entry/gateway/events.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strings"
+
+	"redwinglock/internal/peer/body"
 )
 
 // eventEnds are the texts that end an event of a stream of server-sent events: an empty line, where a line ends
@@ -24,6 +27,8 @@
 // an event that another target sends again.
 type eventSplitter struct {
 	partial []byte
+	// memory is what a large part of an event may use.
+	memory body.Reservation
 	// lastID is the last id among the complete events, empty if there was none.
 	lastID string
 	// count is the number of complete events.
@@ -38,19 +43,45 @@
 	s.partial = append(s.partial, content...)
 	end := endOfLastEvent(s.partial[searched:])
 	if end == 0 {
-		if len(s.partial) > maxEventBytes {
-			s.partial = nil
-			return nil, errEventTooLong
-		}
-		return nil, nil
+		return nil, s.checkPartial()
 	}
 	end += searched
 	complete := bytes.Clone(s.partial[:end])
-	s.partial = append(s.partial[:0], s.partial[end:]...)
+	s.keepPartial(s.partial[end:])
 	s.recordEvents(complete)
 	return complete, nil
 }
 
+// checkPartial returns an error, and discards the event that is not complete, if it is too large by itself or together
+// with those of other answers.
+func (s *eventSplitter) checkPartial() error {
+	if len(s.partial) > maxEventBytes {
+		s.close()
+		return errEventTooLong
+	}
+	if err := s.memory.Grow(cap(s.partial)); err != nil {
+		s.close()
+		return fmt.Errorf("event: %w", err)
+	}
+	return nil
+}
+
+// keepPartial keeps the beginning of the next event, and no more memory than that needs.
+func (s *eventSplitter) keepPartial(rest []byte) {
+	if cap(s.partial) <= body.SmallBytes {
+		s.partial = append(s.partial[:0], rest...)
+		return
+	}
+	s.partial = bytes.Clone(rest)
+	s.memory.Release()
+}
+
+// close discards the event that is not complete and returns its memory.
+func (s *eventSplitter) close() {
+	s.partial = nil
+	s.memory.Release()
+}
+
 // endOfLastEvent returns the length of the content up to the end of its last complete event, 0 if there is none.
 func endOfLastEvent(content []byte) int {
 	length := 0
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -45,7 +45,8 @@
 	ctx, cancel := s.stop.requestContext(c.Request.Context(), r.deadline)
 	defer cancel()
 	s.retries.recordRequest(r.pool, r.arrived)
-	a := &answer{writer: c.Writer, request: r}
+	a := &answer{writer: c.Writer, request: r, events: eventSplitter{memory: s.answers.Reserve()}}
+	defer a.close()
 	for attempt := 1; ; attempt++ {
 		result, err := s.attempt(ctx, c.Request, r, a)
 		if result == attemptFinal {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"redwinglock/internal/entry/upload"
 	"redwinglock/internal/fleet/passthrough"
 	"redwinglock/internal/peer/arbiter"
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
@@ -35,6 +36,10 @@
 	noMemoryRetryAfter = 500 * time.Millisecond
 )
 
+// answersMemoryFraction is the fraction of the memory of the host that the parts of answers may use which are kept
+// before they are forwarded.
+const answersMemoryFraction = 1.0 / 8
+
 // answeredLogsPerSecond bounds the log lines about answered requests, so that under load the
 // lines about refusals and failures are not dropped.
 const answeredLogsPerSecond = 100
@@ -52,7 +57,9 @@
 	dialect  Dialect
 	retries  *retryBudget
 	bodies   *upload.Budget
-	notices  *targetNotices
+	// answers bounds the memory of the parts of answers that are kept before they are forwarded.
+	answers *body.Budget
+	notices *targetNotices
 	// answeredLogs bounds the log lines about answered requests.
 	answeredLogs common.RateLimit
 	// rateLimitLogs bounds the log lines about invalid rate limits of targets.
@@ -77,6 +84,7 @@
 		dialect:       dialect,
 		retries:       newRetryBudget(c.Settings.Gateway.RetryShare, c.Settings.Gateway.RetrySlack, func() int { return b.Members().Registered }),
 		bodies:        upload.NewBudget(c.Settings.MemoryMB),
+		answers:       body.NewBudget(c.Settings.MemoryMB, answersMemoryFraction),
 		notices:       newTargetNotices(b, arbiters),
 		answeredLogs:  common.RateLimit{Limit: answeredLogsPerSecond},
 		rateLimitLogs: common.RateLimit{Limit: rateLimitLogsPerSecond},
--- a/internal/entry/upload/upload_test.go
+++ b/internal/entry/upload/upload_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	peerbody "redwinglock/internal/peer/body"
 )
 
 // failingReader ends with an error.
@@ -35,8 +37,8 @@
 	}{
 		{"empty", 0, true, nil, false},
 		{"empty, in chunks", 0, false, nil, false},
-		{"small", smallBytes, true, nil, false},
-		{"small, in chunks", smallBytes, false, nil, false},
+		{"small", peerbody.SmallBytes, true, nil, false},
+		{"small, in chunks", peerbody.SmallBytes, false, nil, false},
 		{"large", 60_000, true, nil, true},
 		{"large, in chunks", 60_000, false, nil, true},
 		{"as large as allowed", limit, true, nil, true},
--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/outcome"
 )
@@ -62,18 +63,22 @@
 type Client struct {
 	http       *http.Client
 	onResume   func()
+	memory     *body.Budget
 	background sync.WaitGroup
 }
 
-// New creates a client that calls onResume each time a stream is resumed.
-func New(onResume func()) *Client {
+// New creates a client that calls onResume each time a stream is resumed. memory bounds the events that are not
+// complete.
+func New(memory *body.Budget, onResume func()) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		onResume: onResume,
+		memory:   memory,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			IdleConnTimeout:     idleConnTimeout,
-			MaxIdleConnsPerHost: 64,
+			DialContext:            dialer.DialContext,
+			IdleConnTimeout:        idleConnTimeout,
+			MaxIdleConnsPerHost:    64,
+			MaxResponseHeaderBytes: body.MaxHeaderBytes,
 		}},
 	}
 }
@@ -218,11 +223,11 @@
 
 // readRejection returns the rejection in an answer, or an error if its body cannot be read.
 func readRejection(response *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxRejectionBytes))
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxRejectionBytes))
 	if err != nil {
 		return outcome.NotCompleted(outcome.Unknown, outcome.TargetLost, "the engine was lost while it refused the request")
 	}
-	return &Rejection{Status: response.StatusCode, Body: body}
+	return &Rejection{Status: response.StatusCode, Body: content}
 }
 
 // maxRejectionBytes is the maximum size of a rejection body that is forwarded to the caller.
--- a/internal/fleet/engine/connection.go
+++ b/internal/fleet/engine/connection.go
@@ -9,10 +9,21 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"redwinglock/internal/peer/body"
+)
+
+// Errors of answers that engines do not complete.
+var (
+	errEventTooLong = errors.New("event is too long")
+	errEnded        = errors.New("the connection ended before the answer")
 )
 
 const (
-	maxEventBytes = 4 << 20
+	// maxEventBytes bounds an event. The engine of a longer one may never send the end of it.
+	maxEventBytes = 256 << 10
+	// lineBufferBytes is the size of the buffer of a connection.
+	lineBufferBytes = 4096
 	// eventBufferSize is the number of events that are read ahead.
 	eventBufferSize = 16
 )
@@ -50,19 +61,23 @@
 			return
 		}
 		conn.opened <- nil
-		conn.err = conn.read(ctx, response.Body)
+		memory := c.memory.Reserve()
+		defer memory.Release()
+		conn.err = conn.read(ctx, response.Body, &memory)
 	})
 	return conn
 }
 
 // read parses the events of an answer, sends them to c.events and returns why the answer
 // ended. It always returns an error.
-func (c *connection) read(ctx context.Context, body io.Reader) error {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+func (c *connection) read(ctx context.Context, answer io.Reader, memory *body.Reservation) error {
+	lines := &lineReader{reader: bufio.NewReaderSize(answer, lineBufferBytes)}
 	var e rawEvent
-	for scanner.Scan() {
-		line := scanner.Text()
+	for {
+		line, err := lines.next(len(e.data), memory)
+		if err != nil {
+			return fmt.Errorf("read events: %w", err)
+		}
 		field, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
 		switch {
@@ -73,6 +88,7 @@
 				return fmt.Errorf("read events: %w", ctx.Err())
 			}
 			e = rawEvent{}
+			memory.Release()
 		case field == "id":
 			e.id, _ = strconv.ParseInt(value, 10, 64)
 		case field == "data" && e.data == nil:
@@ -81,8 +97,34 @@
 			e.data = append(append(e.data, '\n'), value...)
 		}
 	}
-	if err := scanner.Err(); err != nil {
-		return fmt.Errorf("read events: %w", err)
+}
+
+// lineReader reads the lines of events within the limits of an event.
+type lineReader struct {
+	reader *bufio.Reader
+}
+
+// next returns the next line without its end. eventBytes is the size of the event so far.
+func (r *lineReader) next(eventBytes int, memory *body.Reservation) (string, error) {
+	var line []byte
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		line = append(line, part...)
+		if eventBytes+len(line) > maxEventBytes {
+			return "", errEventTooLong
+		}
+		if memoryErr := memory.Grow(eventBytes + cap(line)); memoryErr != nil {
+			return "", memoryErr
+		}
+		switch {
+		case err == nil:
+			return strings.TrimSuffix(strings.TrimSuffix(string(line), "\n"), "\r"), nil
+		case errors.Is(err, io.EOF) && len(line) > 0:
+			return string(line), nil
+		case errors.Is(err, io.EOF):
+			return "", errEnded
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return "", err
+		}
 	}
-	return errors.New("the connection ended before the answer")
 }
--- a/internal/fleet/engine/engine_test.go
+++ b/internal/fleet/engine/engine_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinglock/internal/peer/body"
 	standin "redwinglock/internal/standin/engine"
 	"redwinglock/internal/state/outcome"
 )
@@ -110,7 +111,7 @@
 			server := httptest.NewServer(engine)
 			defer server.Close()
 			var resumes atomic.Int64
-			client := New(func() { resumes.Add(1) })
+			client := New(body.NewBudget(0, 1), func() { resumes.Add(1) })
 			stream, err := client.Open(context.Background(), newCall(server.URL), allow)
 			var text string
 			if err == nil {
@@ -146,7 +147,7 @@
 			return standin.Send
 		})
 		server := httptest.NewServer(engine)
-		stream, err := New(func() {}).Open(context.Background(), newCall(server.URL), allow)
+		stream, err := New(body.NewBudget(0, 1), func() {}).Open(context.Background(), newCall(server.URL), allow)
 		require.NoError(t, err)
 		text, err := readAll(stream)
 		require.NoError(t, err)
@@ -160,7 +161,7 @@
 	engine := standin.New(standin.Settings{DecodePerToken: time.Millisecond})
 	server := httptest.NewServer(engine)
 	defer server.Close()
-	client := New(func() {})
+	client := New(body.NewBudget(0, 1), func() {})
 	ctx, cancel := context.WithCancel(context.Background())
 	stream, err := client.Open(ctx, newCall(server.URL), allow)
 	require.NoError(t, err)
@@ -177,7 +178,7 @@
 	server := httptest.NewServer(engine)
 	defer server.Close()
 	for range 50 {
-		_, err := New(func() {}).Open(context.Background(), newCall(server.URL), func() bool { return false })
+		_, err := New(body.NewBudget(0, 1), func() {}).Open(context.Background(), newCall(server.URL), func() bool { return false })
 		require.ErrorIs(t, err, ErrNotSent)
 	}
 	require.Empty(t, engine.Runs())
@@ -233,7 +234,7 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			gateCalls := 0
-			_, err := New(func() {}).Open(context.Background(), newCall(row.address), func() bool {
+			_, err := New(body.NewBudget(0, 1), func() {}).Open(context.Background(), newCall(row.address), func() bool {
 				gateCalls++
 				return true
 			})
@@ -264,7 +265,7 @@
 		engine.ServeHTTP(w, r)
 	}))
 	defer server.Close()
-	client := New(func() {})
+	client := New(body.NewBudget(0, 1), func() {})
 	stream, err := client.Open(context.Background(), newCall(server.URL), allow)
 	require.NoError(t, err)
 	_, err = readAll(stream)
@@ -281,7 +282,7 @@
 	engine.SetReject(http.StatusBadRequest)
 	server := httptest.NewServer(engine)
 	defer server.Close()
-	_, err := New(func() {}).Open(context.Background(), newCall(server.URL), allow)
+	_, err := New(body.NewBudget(0, 1), func() {}).Open(context.Background(), newCall(server.URL), allow)
 	var rejection *Rejection
 	require.ErrorAs(t, err, &rejection)
 	require.Equal(t, http.StatusBadRequest, rejection.Status)
--- a/internal/fleet/passthrough/client.go
+++ b/internal/fleet/passthrough/client.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"redwinglock/internal/peer/body"
 )
 
 const (
@@ -30,8 +32,6 @@
 	idleTimeout = 2 * time.Second
 	// maxIdlePerTarget is the maximum number of idle connections to one target.
 	maxIdlePerTarget = 8
-	// maxHeaderBytes is the maximum size of the header of an answer.
-	maxHeaderBytes = 64 << 10
 )
 
 // ErrNotSent is returned if no connection could be opened and nothing was sent.
@@ -76,7 +76,7 @@
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: body.MaxHeaderBytes,
 	}
 }
 
@@ -149,11 +149,11 @@
 	return u, nil
 }
 
-func bodyReader(body []byte) io.Reader {
-	if len(body) == 0 {
+func bodyReader(content []byte) io.Reader {
+	if len(content) == 0 {
 		return nil
 	}
-	return bytes.NewReader(body)
+	return bytes.NewReader(content)
 }
 
 func isDialError(err error) bool {
--- a/internal/fleet/service/client.go
+++ b/internal/fleet/service/client.go
@@ -3,13 +3,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"redwinglock/internal/fleet/engine"
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/outcome"
 )
@@ -36,21 +37,31 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	memory body.Reservation
+}
+
+// Release returns the memory of the body. The answer of a call that failed is nil, for which it does nothing.
+func (a *Answer) Release() {
+	if a != nil {
+		a.memory.Release()
+	}
 }
 
 // Client calls plain services.
 type Client struct {
-	http *http.Client
+	http   *http.Client
+	memory *body.Budget
 }
 
-// New creates a client.
-func New() *Client {
+// New creates a client. memory bounds the answers that are read at a time.
+func New(memory *body.Budget) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{
+	return &Client{memory: memory, http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			IdleConnTimeout:     idleConnTimeout,
-			MaxIdleConnsPerHost: 64,
+			DialContext:            dialer.DialContext,
+			IdleConnTimeout:        idleConnTimeout,
+			MaxIdleConnsPerHost:    64,
+			MaxResponseHeaderBytes: body.MaxHeaderBytes,
 		},
 		// A redirect is returned to the caller. Following it would dispatch the request twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -63,7 +74,7 @@
 	return nil
 }
 
-// Do sends the call if the gate allows it and returns the complete answer. The error wraps
+// Do sends the call if the gate allows it and returns the complete answer, which must be released. The error wraps
 // engine.ErrNotSent if nothing was sent, and otherwise describes the outcome (see
 // outcome.FailureOf).
 func (c *Client) Do(ctx context.Context, call Call, gate engine.Gate) (*Answer, error) {
@@ -83,12 +94,15 @@
 		return nil, outcome.NotCompleted(outcome.Unknown, outcome.TargetLost, "the service was lost after the request was sent")
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
-	if err != nil {
-		return nil, outcome.NotCompleted(outcome.Incomplete, outcome.TargetLost, "the answer of the service was cut short")
-	}
-	if len(body) > MaxAnswerBytes {
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, memory: c.memory.Reserve()}
+	answer.Body, err = answer.memory.ReadAll(response.Body, response.ContentLength, MaxAnswerBytes)
+	switch {
+	case errors.Is(err, body.ErrTooLarge):
 		return nil, outcome.NotCompleted(outcome.Incomplete, outcome.TargetInvalidResponse, "the answer of the service is too large")
+	case errors.Is(err, body.ErrNoMemory):
+		return nil, outcome.NotCompleted(outcome.Incomplete, outcome.TargetInvalidResponse, "the answer of the service is larger than the memory that other answers leave")
+	case err != nil:
+		return nil, outcome.NotCompleted(outcome.Incomplete, outcome.TargetLost, "the answer of the service was cut short")
 	}
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return answer, nil
 }
--- a/internal/peer/http2/client.go
+++ b/internal/peer/http2/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"redwinglock/internal/peer/body"
 )
 
 // Client multiplexes requests over one connection to each host. An open connection can become
@@ -53,11 +55,12 @@
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		DialContext:           c.dial,
-		TLSClientConfig:       c.config,
-		Protocols:             protocols,
-		ResponseHeaderTimeout: c.timeout,
-		IdleConnTimeout:       c.idle,
+		DialContext:            c.dial,
+		TLSClientConfig:        c.config,
+		Protocols:              protocols,
+		ResponseHeaderTimeout:  c.timeout,
+		IdleConnTimeout:        c.idle,
+		MaxResponseHeaderBytes: body.MaxHeaderBytes,
 	}}
 }
 
--- a/internal/peer/http2/client_test.go
+++ b/internal/peer/http2/client_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -46,3 +47,20 @@
 	require.Eventually(t, func() bool { return open.Load() == 0 }, 10*time.Second, 5*time.Millisecond)
 	require.NoError(t, client.Close())
 }
+
+func TestLargeHeaderOfAPeerIsRefused(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("A", strings.Repeat("x", 1<<20))
+	}))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols = protocols
+	server.Start()
+	defer server.Close()
+	client := New(time.Second, nil)
+	request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	require.NoError(t, err)
+	_, err = client.Do(request)
+	require.Error(t, err)
+	require.NoError(t, client.Close())
+}
--- a/internal/platform/hosts/hosts.go
+++ b/internal/platform/hosts/hosts.go
@@ -10,6 +10,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"redwinglock/internal/peer/body"
 )
 
 // The labels of a group and their values.
@@ -48,7 +50,7 @@
 
 // New creates a client for the list at the URL.
 func New(url string) *Client {
-	return &Client{url: url, http: &http.Client{Timeout: readTimeout}}
+	return &Client{url: url, http: &http.Client{Timeout: readTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}}}
 }
 
 // Close closes idle connections.
--- a/internal/platform/store/etcd.go
+++ b/internal/platform/store/etcd.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"redwinglock/internal/peer/body"
 )
 
 const (
@@ -38,7 +40,7 @@
 	return &Etcd{
 		endpoints: endpoints,
 		timeout:   timeout,
-		http:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
+		http:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: body.MaxHeaderBytes}},
 	}
 }
 
