--- a/internal/control/catalog/follower.go
+++ b/internal/control/catalog/follower.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -26,7 +25,8 @@
 	watchRetryDelay = time.Second
 	// maxStateBytes bounds the size of a configuration from a peer.
 	maxStateBytes = 64 << 20
-	peerTimeout   = 2 * time.Second
+	// peerTimeout bounds the time until a peer answers, and any silence in its answer.
+	peerTimeout = 2 * time.Second
 	// watchers is the number of hosts that watch the head in the store. The others are notified
 	// of a change by heartbeats.
 	watchers = 3
@@ -56,7 +56,7 @@
 		common:  c,
 		log:     c.Log("config"),
 		board:   b,
-		http:    &http.Client{Timeout: peerTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}},
+		http:    &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}},
 		wake:    make(chan struct{}, 1),
 		stop:    stop,
 	}
@@ -162,6 +162,8 @@
 	if peerURL == nil {
 		return nil, nil
 	}
+	ctx, transfer := body.NewTransfer(ctx, peerTimeout, peerTimeout)
+	defer transfer.Close()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, *peerURL+wire.ConfigPath, nil)
 	if err != nil {
 		return nil, fmt.Errorf("read configuration from peer: %w", err)
@@ -169,14 +171,14 @@
 	request.Header.Set(wire.KeyHeader, f.common.Settings.Peers.Key)
 	response, err := f.http.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("read configuration from peer: %w", err)
+		return nil, fmt.Errorf("read configuration from peer: %w", transfer.Err(err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("read configuration from peer: status %d", response.StatusCode)
 	}
 	var state State
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state); err != nil {
+	if err := json.NewDecoder(transfer.Reader(response.Body, maxStateBytes)).Decode(&state); err != nil {
 		return nil, fmt.Errorf("decode configuration of peer: %w", err)
 	}
 	if len(state.Names) != chunkCount || indexName(state.Names) != state.Head.Index {
--- a/internal/platform/hosts/hosts.go
+++ b/internal/platform/hosts/hosts.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -50,7 +49,7 @@
 
 // New creates a client for the list at the URL.
 func New(url string) *Client {
-	return &Client{url: url, http: &http.Client{Timeout: readTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}}}
+	return &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}}}
 }
 
 // Close closes idle connections.
@@ -61,6 +60,8 @@
 
 // List returns the current list, or ErrUnchanged if it has not changed since the last read.
 func (c *Client) List(ctx context.Context) ([]Group, error) {
+	ctx, transfer := body.NewTransfer(ctx, readTimeout, readTimeout)
+	defer transfer.Close()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return nil, fmt.Errorf("list hosts: %w", err)
@@ -70,7 +71,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("list hosts: %w", err)
+		return nil, fmt.Errorf("list hosts: %w", transfer.Err(err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusNotModified {
@@ -80,7 +81,7 @@
 		return nil, fmt.Errorf("list hosts: status %d", response.StatusCode)
 	}
 	var groups []Group
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&groups); err != nil {
+	if err := json.NewDecoder(transfer.Reader(response.Body, maxListBytes)).Decode(&groups); err != nil {
 		return nil, fmt.Errorf("decode list of hosts: %w", err)
 	}
 	c.etag = response.Header.Get("ETag")
--- /dev/null
+++ b/internal/platform/hosts/hosts_test.go
@@ -0,0 +1,31 @@
+package hosts
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLongListOverANarrowLinkIsRead reads a list that takes longer than the timeout of a call but moves on.
+func TestLongListOverANarrowLinkIsRead(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("["))
+		for range 12 {
+			_, _ = w.Write([]byte(strings.Repeat(" ", 64<<10)))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(readTimeout / 10)
+		}
+		_, _ = w.Write([]byte(`{"labels":{"name":"a"}}]`))
+	}))
+	defer server.Close()
+	client := New(server.URL)
+	groups, err := client.List(context.Background())
+	require.NoError(t, err)
+	require.Len(t, groups, 1)
+	require.NoError(t, client.Close())
+}
--- a/internal/platform/store/etcd.go
+++ b/internal/platform/store/etcd.go
@@ -204,14 +204,14 @@
 
 // call sends one request to the current endpoint and decodes the answer.
 func (e *Etcd) call(ctx context.Context, path string, request, response any) error {
-	ctx, cancel := context.WithTimeout(ctx, e.timeout)
-	defer cancel()
+	ctx, transfer := body.NewTransfer(ctx, e.timeout, e.timeout)
+	defer transfer.Close()
 	answer, err := e.post(ctx, path, request)
 	if err != nil {
-		return err
+		return transfer.Err(err)
 	}
 	defer answer.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	content, err := io.ReadAll(transfer.Reader(answer.Body, maxAnswerBytes))
 	if err != nil {
 		return fmt.Errorf("%w: read answer: %w", ErrUnavailable, err)
 	}
