settings: link-mbps may be left unfilled by a template

Hosts whose settings come from a template that does not fill in the link (the cases in review/, for one) did not start since: the placeholder is no number. It counts as not known now.

--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -154,7 +154,7 @@
 		PeerURL:   s.Peers.Advertise,
 		CallerURL: callerURL,
 		Capacity:  s.Capacity,
-		LinkMbps:  s.LinkMbps,
+		LinkMbps:  float64(s.LinkMbps),
 	})
 }
 
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -26,7 +26,7 @@
 	// Capacity is the number of processor cores that this host may use. Zero: not known.
 	Capacity float64 `yaml:"capacity"`
 	// LinkMbps is the width of the host's link in Mbit/s. Zero: not known.
-	LinkMbps float64 `yaml:"link-mbps"`
+	LinkMbps OptionalNumber `yaml:"link-mbps"`
 	// MemoryMB is the memory limit of the host in MiB. Garbage is collected more often when
 	// two thirds of it are in use. Zero: not known.
 	MemoryMB  int64     `yaml:"memory-mb"`
@@ -224,8 +224,8 @@
 func (c *checker) check(s *Settings) {
 	c.require(s.Host, "host")
 	c.require(string(s.Zone), "zone")
-	if s.LinkMbps < 0 {
-		c.addError("is negative", "link-mbps")
+	if !(s.LinkMbps >= 0) {
+		c.addError("is negative, or no number", "link-mbps")
 	}
 	if s.Capacity < 0 {
 		c.addError("is negative", "capacity")
