--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -213,12 +213,20 @@
 	s.activeTargets = append(s.activeTargets, t)
 }
 
+// configuration returns the present version of the configuration.
+func (s *soak) configuration() standin.Config {
+	if hasLargeConfig(s.options.Seed) {
+		return largeConfiguration(s.configVersion)
+	}
+	return configuration(s.configVersion)
+}
+
 // changeConfig publishes the next configuration.
 func (s *soak) changeConfig() {
 	s.configMu.Lock()
 	defer s.configMu.Unlock()
 	s.configVersion += 3
-	c := configuration(s.configVersion)
+	c := s.configuration()
 	s.site.Store.Configure(c)
 	s.record.recordVersion(version{number: c.Version, path: probePath(c.Version), acked: time.Now()})
 }
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -171,6 +171,33 @@
 // configuration.
 func probePath(number int64) string { return fmt.Sprintf("/probe-%d/x", number) }
 
+const (
+	// largeConfigSeeds says that one in this many seeds has a large configuration, which grows with each version, and
+	// hosts with narrow links.
+	largeConfigSeeds = 4
+	// largeConfigRoutes and routesPerVersion are the numbers of further routes in the first version and in each next one.
+	largeConfigRoutes = 1400
+	routesPerVersion  = 20
+	// narrowLink is the width of a narrow link in bytes a second.
+	narrowLink = 10e6 / 8
+)
+
+// hasLargeConfig reports whether a seed has a large configuration.
+func hasLargeConfig(seed uint64) bool { return seed%largeConfigSeeds == 1 }
+
+// largeConfiguration returns one version of a configuration with many routes that get no requests.
+func largeConfiguration(number int64) standin.Config {
+	c := configuration(number)
+	for i := range largeConfigRoutes + routesPerVersion*int(number) {
+		name := fmt.Sprintf("%016x", uint64(i+1)*0x9e3779b97f4a7c15)
+		c.Routes = append(c.Routes, standin.Route{
+			Name: "r-" + name[:8], Host: callersHost, PathPrefix: "/" + name + "/", Kind: "idempotent", TimeoutMS: 1500, TargetLatencyMS: 200,
+			Priority: 1, Service: services, MaxAttempts: 2,
+		})
+	}
+	return c
+}
+
 // configuration returns one version of the operator's configuration.
 func configuration(number int64) standin.Config {
 	c := standin.Config{
--- a/internal/bench/soak/restore.go
+++ b/internal/bench/soak/restore.go
@@ -85,7 +85,7 @@
 		s.site.Store.SetFault(standin.Healthy)
 	}
 	time.Sleep(r.rewrite)
-	s.site.Store.Configure(configuration(s.configVersion))
+	s.site.Store.Configure(s.configuration())
 	s.configMu.Unlock()
 	if r.servesWritersFirst {
 		s.changeConfig()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -111,7 +111,7 @@
 }
 
 func (s *soak) start(dir string) error {
-	first := configuration(s.configVersion)
+	first := s.configuration()
 	var err error
 	s.site, err = site.New(site.Spec{
 		Program: s.options.Program, Settings: s.options.Settings, Older: s.options.Older, OlderSettings: s.options.OlderSettings, Dir: dir, Hosts: s.options.Hosts, Config: first,
@@ -133,6 +133,10 @@
 	}
 	for _, h := range s.site.Hosts {
 		s.supervisors[h.Name] = newSupervisor(h, s.record)
+		if hasLargeConfig(s.options.Seed) {
+			h.ToStore.SetWidth(narrowLink)
+			h.Peers.SetWidth(narrowLink)
+		}
 	}
 	s.callers = standin.NewCallers(s.options.Seed, s.site.Directories(), s.site.Dial)
 	return nil
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -1,5 +1,5 @@
 // Package proxy is a fault-injecting TCP proxy on loopback. It can delay, block, refuse and
-// reset connections.
+// reset connections, and has a limited width.
 package proxy
 
 import (
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Link has the faults of a proxy. The zero Link forwards all data without delay.
@@ -22,8 +24,11 @@
 	Refused bool
 }
 
-// Proxy forwards connections to the upstream address.
+// Proxy forwards connections to the upstream address. All connections share its width.
 type Proxy struct {
+	// up and down bound the bytes a second in the directions from and to the dialing side.
+	up, down *rate.Limiter
+
 	upstream string
 	listener net.Listener
 	tasks    sync.WaitGroup
@@ -41,7 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", upstream, err)
 	}
-	p := &Proxy{upstream: upstream, listener: listener, changed: make(chan struct{}), open: map[net.Conn]struct{}{}}
+	p := &Proxy{up: newLimiter(), down: newLimiter(), upstream: upstream, listener: listener, changed: make(chan struct{}), open: map[net.Conn]struct{}{}}
 	p.tasks.Go(p.accept)
 	return p, nil
 }
@@ -49,6 +54,15 @@
 // Address returns the address on which the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
+// newLimiter returns a limiter without a limit.
+func newLimiter() *rate.Limiter { return rate.NewLimiter(rate.Inf, bufferBytes) }
+
+// SetWidth bounds the bytes a second in each direction, also while faults are set and unset.
+func (p *Proxy) SetWidth(bytesPerSecond float64) {
+	p.up.SetLimit(rate.Limit(bytesPerSecond))
+	p.down.SetLimit(rate.Limit(bytesPerSecond))
+}
+
 // Set replaces the faults of the proxy.
 func (p *Proxy) Set(link Link) {
 	p.mu.Lock()
@@ -120,8 +134,8 @@
 	}
 	defer p.remove(up)
 	var both sync.WaitGroup
-	both.Go(func() { p.copyData(up, down, func(l Link) bool { return l.SilentUp }) })
-	both.Go(func() { p.copyData(down, up, func(l Link) bool { return l.SilentDown }) })
+	both.Go(func() { p.copyData(up, down, p.up, func(l Link) bool { return l.SilentUp }) })
+	both.Go(func() { p.copyData(down, up, p.down, func(l Link) bool { return l.SilentDown }) })
 	both.Wait()
 }
 
@@ -147,10 +161,11 @@
 
 // copyData forwards the data of one direction until it ends. It forwards a reset as a reset and
 // the end of the data as a half-close.
-func (p *Proxy) copyData(to, from net.Conn, silent func(Link) bool) {
+func (p *Proxy) copyData(to, from net.Conn, width *rate.Limiter, silent func(Link) bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		time.Sleep(width.ReserveN(time.Now(), n).Delay())
 		if !p.awaitDelivery(silent) {
 			return
 		}
