engine: a slow dial, and an engine that is slow to resume, are not given up

Two causes: the idle timeout, which is about a silent engine, also ended a dial (which has a timeout of its own), so that a request that was not sent was refused; and a sound connection was given up when requests to resume its stream had no answer in time, though the engine was just slow. TestSlowDialIsNotGivenUp and TestEngineThatIsSlowToResumeKeepsItsConnection failed before. Ruled out: a longer idle timeout in the test.

--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -180,8 +180,8 @@
 	}
 }
 
-// awaitResponse waits until the answer begins or the idle timeout expires. It returns true
-// if the answer has begun, and an error if the stream has failed.
+// awaitResponse waits until the answer begins or the idle timeout expires, which counts only once the request was
+// sent. It returns true if the answer has begun, and an error if the stream has failed.
 func (s *Stream) awaitResponse(sent func() bool) (bool, error) {
 	initial := s.conn
 	s.idleTimer.Reset(s.call.IdleTimeout)
@@ -193,8 +193,7 @@
 		return s.handleOpenFailure(err, sent)
 	case <-s.idleTimer.C:
 		if !sent() {
-			initial.cancel()
-			return s.handleOpenFailure(<-initial.opened, sent)
+			return false, nil // The dial has a timeout of its own.
 		}
 		err := s.handleIdle()
 		return s.conn != initial, err
--- a/internal/fleet/engine/engine_test.go
+++ b/internal/fleet/engine/engine_test.go
@@ -329,3 +329,59 @@
 		})
 	}
 }
+
+// TestSlowDialIsNotGivenUp opens a connection that takes longer than the idle timeout, as on a host with little
+// processor time. The idle timeout is about the engine, which has not got the request yet.
+func TestSlowDialIsNotGivenUp(t *testing.T) {
+	engine := standin.New(standin.Settings{})
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	client := New(body.NewBudget(0, 1), func() {})
+	transport := client.http.Transport.(*http.Transport)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case <-time.After(4 * idleTimeout):
+		case <-ctx.Done():
+		}
+		return dial(ctx, network, address)
+	}
+	stream, err := client.Open(context.Background(), newCall(server.URL), allow)
+	require.NoError(t, err)
+	text, err := readAll(stream)
+	require.NoError(t, err)
+	require.Equal(t, completeText(), text)
+	require.NoError(t, stream.Close())
+	require.NoError(t, client.Close())
+}
+
+// TestEngineThatIsSlowToResumeKeepsItsConnection reads an engine that answers after many idle timeouts and, until then,
+// does not answer requests to resume either. The first connection is sound.
+func TestEngineThatIsSlowToResumeKeepsItsConnection(t *testing.T) {
+	engine := standin.New(standin.Settings{})
+	ready := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-ready:
+		case <-r.Context().Done():
+			return
+		}
+		if r.Method == http.MethodPost {
+			engine.ServeHTTP(w, r)
+			return
+		}
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	client := New(body.NewBudget(0, 1), func() {})
+	time.AfterFunc(20*idleTimeout, func() { close(ready) })
+	stream, err := client.Open(context.Background(), newCall(server.URL), allow)
+	require.NoError(t, err)
+	text, err := readAll(stream)
+	require.NoError(t, err)
+	require.Equal(t, completeText(), text)
+	require.Len(t, engine.Runs(), 1)
+	require.NoError(t, stream.Close())
+	server.CloseClientConnections()
+	require.NoError(t, client.Close())
+}
--- a/internal/fleet/engine/stream.go
+++ b/internal/fleet/engine/stream.go
@@ -24,7 +24,10 @@
 	resumeBackoff        = 100 * time.Millisecond
 )
 
-var errResumeUnsupported = errors.New("the engine cannot resume the stream")
+var (
+	errResumeUnsupported = errors.New("the engine cannot resume the stream")
+	errNoAnswerInTime    = errors.New("no answer in time")
+)
 
 // Stream is the answer of an engine as a sequence of events. If its connection breaks or
 // goes silent, it resumes after the last event on a new connection. A silent connection is
@@ -108,11 +111,13 @@
 		return s.failure(outcome.TargetSilent, "the engine sent nothing on %d connections", s.silentConnections)
 	}
 	err := s.resume()
-	if errors.Is(err, errResumeUnsupported) {
+	switch {
+	case errors.Is(err, errResumeUnsupported):
 		s.resumeUnsupported = true
 		return nil
-	}
-	if err != nil {
+	case errors.Is(err, errNoAnswerInTime):
+		return nil // The engine may just be slow, so its connection is kept.
+	case err != nil:
 		return s.failure(outcome.TargetLost, "the connection is silent and was not resumed: %v", err)
 	}
 	return nil
@@ -207,7 +212,7 @@
 	select {
 	case err = <-conn.opened:
 	case <-timeout.C:
-		err = errors.New("no answer in time")
+		err = errNoAnswerInTime
 	}
 	if err != nil {
 		cancel()
