--- a/internal/control/discovery/fetch.go
+++ b/internal/control/discovery/fetch.go
@@ -29,8 +29,6 @@
 	valueRevisionHeader = "Redwinglock-Value-Revision"
 	valueDigestHeader   = "Redwinglock-Value-Digest"
 	valueBaseHeader     = "Redwinglock-Value-Base"
-	// maxTransfers is the number of large values that this host sends at a time. Further peers try other hosts.
-	maxTransfers = 8
 	// busyDelay and failedDelay are the times after which a host is asked again that is busy, or has failed.
 	busyDelay   = 100 * time.Millisecond
 	failedDelay = 500 * time.Millisecond
@@ -40,6 +38,7 @@
 var (
 	errPeerBusy    = errors.New("peer sends too many values")
 	errUnknownBase = errors.New("patch for a value that this host does not have")
+	errOlderValue  = errors.New("value is older than the wanted one")
 )
 
 // fetchValues reads the large values that this host lacks until ctx is canceled.
@@ -171,6 +170,9 @@
 		return store.Item{}, transfer.Size(), fmt.Errorf("read value: %w", err)
 	}
 	item, err := d.decodeValue(order.value.Key, response.Header, content)
+	if err == nil && item.Position < order.value.position() {
+		err = errOlderValue
+	}
 	return item, transfer.Size(), err
 }
 
@@ -215,37 +217,3 @@
 	}
 	return store.Item{Key: key, Data: data, Position: store.NewPosition(store.Era(era), revision)}, nil
 }
-
-// ServeValue sends the latest large value of a key to a peer, as a patch to the value that the peer has. It refuses
-// with 503 if this host sends too many already, and with 404 if it does not have the value.
-func (d *Controller) ServeValue(w http.ResponseWriter, r *http.Request) {
-	if d.transfers.Add(1) > maxTransfers {
-		d.transfers.Add(-1)
-		d.common.Metrics.Counter("value_reads_refused").Inc(1)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer d.transfers.Add(-1)
-	query := r.URL.Query()
-	d.mu.Lock()
-	wanted := d.parsePosition(query.Get(sinceParameter), query.Get(eraParameter))
-	d.mu.Unlock()
-	transfer, found, err := d.values.transfer(query.Get(keyParameter), wanted, patch.Digest(query.Get(baseParameter)))
-	switch {
-	case err != nil:
-		d.log.WithError(err).Error("Value not sent to peer.")
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	case !found:
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	header := w.Header()
-	header.Set("Content-Type", "application/zstd")
-	header.Set(valueEraHeader, strconv.FormatInt(int64(transfer.Value.Era), 10))
-	header.Set(valueRevisionHeader, strconv.FormatInt(transfer.Value.At, 10))
-	header.Set(valueDigestHeader, string(transfer.Value.Digest))
-	header.Set(valueBaseHeader, string(transfer.Base))
-	d.common.Metrics.Counter("value_sent_bytes").Inc(int64(len(transfer.Patch)))
-	_, _ = w.Write(transfer.Patch) // The peer may have disconnected; it asks again.
-}
--- a/internal/control/discovery/peers.go
+++ b/internal/control/discovery/peers.go
@@ -44,100 +44,6 @@
 	valuesApart     = "apart"
 )
 
-// Items is the state of the store, or its latest changes, as one host sends it to another.
-type Items struct {
-	// Era and Revision are the position in the store up to which the host has applied changes.
-	Era      store.Era `json:"era,omitempty"`
-	Revision int64     `json:"revision"`
-	// Partial is set if Items contains only the changes since the requested revision.
-	Partial bool `json:"partial"`
-	// OutageAgeMS is the time since the last store outage that the host has seen, 0 if there was
-	// none. The owner of a target entry that expired around that time may write it again.
-	OutageAgeMS int64 `json:"trouble-age-ms,omitempty"`
-	// ConfirmedAgeMS is the time since that position was confirmed as the newest.
-	ConfirmedAgeMS int64        `json:"confirmed-age-ms"`
-	Items          []store.Item `json:"items"`
-	// Values describes the items with large values, which the receiver reads apart.
-	Values []Value `json:"values,omitempty"`
-}
-
-// ServeItems sends the items of this host to a peer.
-func (d *Controller) ServeItems(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	items := d.Items(query.Get(sinceParameter), query.Get(eraParameter), query.Get(valuesParameter) == valuesApart)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(items) // The peer may have disconnected; it asks again.
-}
-
-// Items returns the changes after a revision of an era, which are given as the texts of the query parameters. It
-// returns all items if the revision is not a number, too old, or of another era. Without an era, as earlier builds
-// ask, that of this host is meant. With apart, large values are only described.
-func (d *Controller) Items(sinceText, eraText string, apart bool) Items {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	after := d.parsePosition(sinceText, eraText)
-	changes, partial := d.changesAfter(after)
-	position := d.position
-	var values []Value
-	if apart {
-		changes, values = d.separateValues(changes, after, partial)
-	} else {
-		// A peer that has a position does not ask for what was before it.
-		position = min(position, d.fetches.completeUntil(position))
-	}
-	items := Items{
-		Era: position.Era(), Revision: position.Revision(), Partial: partial, Items: changes, Values: values,
-		ConfirmedAgeMS: time.Since(d.confirmedAt).Milliseconds(),
-	}
-	if !d.lastOutageAt.IsZero() {
-		items.OutageAgeMS = max(time.Since(d.lastOutageAt).Milliseconds(), 1)
-	}
-	return items
-}
-
-// separateValues replaces the large values among changes by descriptions, and adds those that this host lacks itself.
-// The caller must hold d.mu.
-func (d *Controller) separateValues(changes []store.Item, after store.Position, partial bool) ([]store.Item, []Value) {
-	inline := make([]store.Item, 0, len(changes))
-	var values []Value
-	for _, i := range changes {
-		switch {
-		case d.fetches.wants(i.Key) > i.Position: // Described below.
-		case isLarge(i) && d.values.digest(i.Key) != "":
-			values = append(values, describe(i, d.values.digest(i.Key), ""))
-		default:
-			inline = append(inline, i)
-		}
-	}
-	for _, v := range d.fetches.descriptions() {
-		if !partial || v.position() > after {
-			values = append(values, v)
-		}
-	}
-	return inline, values
-}
-
-// parsePosition returns the position that a peer has read, 0 if it has none.
-func (d *Controller) parsePosition(sinceText, eraText string) store.Position {
-	revision, err := strconv.ParseInt(sinceText, 10, 64)
-	if err != nil || revision <= 0 {
-		return 0
-	}
-	era := d.position.Era()
-	if number, err := strconv.ParseInt(eraText, 10, 32); err == nil {
-		era = store.Era(number)
-	}
-	return store.NewPosition(era, revision)
-}
-
-// changesAfter returns the changes that a peer lacks and true, or all items and false.
-func (d *Controller) changesAfter(after store.Position) ([]store.Item, bool) {
-	if after.Era() != d.position.Era() {
-		return d.cache.all(), false
-	}
-	return d.cache.changesAfter(after)
-}
-
 // HandlePeerState implements member.PeerStateHandler. A peer at the same position can confirm it; a peer at a later
 // one, or with a later configuration, is read.
 func (d *Controller) HandlePeerState(reported member.PeerState, peerURL string) {
@@ -305,7 +211,7 @@
 		d.applyPeerConfig(items, peerURL)
 		return
 	}
-	d.log.WithFields(logrus.Fields{"peer": peerURL, "store-position": position.String(), "was": d.position.String(), "items": len(items.Items)}).Info("State of the store taken from a peer.")
+	d.log.WithFields(logrus.Fields{"peer": peerURL, "store-position": position.String(), "was": d.position.String(), "items": len(items.Items), "values": len(items.Values)}).Info("State of the store taken from a peer.")
 	d.setPosition(position)
 	if items.OutageAgeMS > 0 {
 		outageAt := time.Now().Add(-time.Duration(items.OutageAgeMS) * time.Millisecond)
@@ -341,15 +247,15 @@
 	}
 }
 
-// applyDescribed applies a large value that a peer describes if this host has the same value, and fetches it
+// applyDescribed applies a large value that a peer describes if this host has kept the same value, and fetches it
 // otherwise. The caller must hold d.mu.
 func (d *Controller) applyDescribed(value Value, peerURL string) {
 	known := d.cache.position(value.Key)
 	if value.position() <= known && value.Era == known.Era() {
 		return
 	}
-	if value.Digest == d.values.digest(value.Key) {
-		d.applyChanges([]store.Item{{Key: value.Key, Data: d.cache.items[value.Key].Data, Position: value.position()}})
+	if data := d.values.value(value.Key, value.Digest); data != nil {
+		d.applyChanges([]store.Item{{Key: value.Key, Data: data, Position: value.position()}})
 		return
 	}
 	if value.Source == "" {
--- a/internal/control/discovery/values_test.go
+++ b/internal/control/discovery/values_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -172,6 +173,11 @@
 			headers(w, "", goodSent.Value.Digest)
 			_, _ = w.Write(goodSent.Patch[:len(goodSent.Patch)/2])
 		}, 2 * time.Second},
+		{"an older value", func(w http.ResponseWriter, _ *http.Request) {
+			headers(w, "", goodSent.Value.Digest)
+			w.Header().Set(valueRevisionHeader, "1")
+			_, _ = w.Write(goodSent.Patch)
+		}, 2 * time.Second},
 		{"no headers", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(goodSent.Patch) }, 2 * time.Second},
 		{"falls silent", func(w http.ResponseWriter, r *http.Request) {
 			headers(w, "", goodSent.Value.Digest)
@@ -313,3 +319,39 @@
 		require.Equal(t, 1, requests)
 	})
 }
+
+// TestLargeConfigurationThatACopyOfTheStoreLacksIsFetched reads a configuration from the era before, which the store has
+// lost in a restore. Its position is earlier than that of the older one that this host has listed since.
+func TestLargeConfigurationThatACopyOfTheStoreLacksIsFetched(t *testing.T) {
+	kept := newValueCache()
+	kept.put(store.Item{Key: "config", Data: []byte(largeConfig(5, 400)), Position: store.NewPosition(1, 90)})
+	peer := http.NewServeMux()
+	sent, _, err := kept.transfer("config", store.NewPosition(1, 90), "")
+	require.NoError(t, err)
+	peer.HandleFunc("/peer/v1/items", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(Items{Era: 2, Revision: 50, Items: []store.Item{}, Values: []Value{sent.Value}})
+	})
+	peer.HandleFunc("/peer/v1/value", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(valueEraHeader, "1")
+		w.Header().Set(valueRevisionHeader, "90")
+		w.Header().Set(valueDigestHeader, string(sent.Value.Digest))
+		_, _ = w.Write(sent.Patch)
+	})
+	runWithValuePeer(t, peer, func(t *testing.T, f *valueFixture) {
+		at := store.NewPosition(2, 50)
+		f.d.replaceAll([]store.Item{{Key: "config", Data: []byte(largeConfig(1, 200)), Position: at - 1}}, at)
+		f.d.HandlePeerState(member.PeerState{ConfigRevision: 5, StorePosition: at}, "http://"+valuePeer)
+		time.Sleep(time.Second)
+		require.Equal(t, object.Revision(5), f.board.Config().Revision)
+	})
+}
+
+// TestValueThatIsKeptIsNotFetched describes a value that this host had before.
+func TestValueThatIsKeptIsNotFetched(t *testing.T) {
+	peer := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the peer was asked") })
+	runWithValuePeer(t, peer, func(t *testing.T, f *valueFixture) {
+		f.d.values.put(store.Item{Key: "config", Data: []byte(largeConfig(2, 400)), Position: 1})
+		f.describeLater(2)
+		require.Equal(t, object.Revision(2), f.board.Config().Revision)
+	})
+}
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -82,9 +82,12 @@
 // readFirst reads a plain answer up to maxBufferedBytes, or less if many answers use the memory for that.
 func (a *answer) readFirst(answered io.Reader) ([]byte, error) {
 	content, err := io.ReadAll(io.LimitReader(answered, body.SmallBytes))
-	if err != nil || len(content) < body.SmallBytes || a.events.memory.Grow(2*maxBufferedBytes) != nil {
+	if err != nil || len(content) < body.SmallBytes {
 		return content, err
 	}
+	if a.events.memory.Grow(2*maxBufferedBytes) != nil { // Both parts while they are joined.
+		return content, nil
+	}
 	rest, err := io.ReadAll(io.LimitReader(answered, maxBufferedBytes-body.SmallBytes))
 	return append(content, rest...), err
 }
