engine: an answer with an event that is too long is not resumed

Traced: an endless event ended its connection, and the stream was resumed on up to 15 more, each with the same endless event; a request that has to be given up got its answer late. It ends with the first one now (target-invalid-response). TestAnswerWithATooLongEventIsNotResumed.

--- a/internal/fleet/engine/endless_test.go
+++ b/internal/fleet/engine/endless_test.go
@@ -8,12 +8,14 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/state/outcome"
 )
 
 // endless returns a handler that sends an answer which begins with a text and repeats another until the client closes
@@ -118,3 +120,28 @@
 		})
 	}
 }
+
+// TestAnswerWithATooLongEventIsNotResumed reads an engine that sends an endless event on each connection. The request
+// ends with the first one.
+func TestAnswerWithATooLongEventIsNotResumed(t *testing.T) {
+	var resumes atomic.Int64
+	answer := endless("data: ", "x", 0)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			resumes.Add(1)
+		}
+		answer(w, r)
+	}))
+	defer server.Close()
+	client := New(body.NewBudget(0, 1), func() {})
+	call := newCall(server.URL)
+	call.IdleTimeout, call.SilenceTimeout = time.Minute, time.Minute
+	stream, err := client.Open(context.Background(), call, allow)
+	require.NoError(t, err)
+	_, err = readAll(stream)
+	require.Equal(t, outcome.TargetInvalidResponse, outcome.FailureOf(err).Reason)
+	require.Zero(t, resumes.Load())
+	require.NoError(t, stream.Close())
+	server.CloseClientConnections()
+	require.NoError(t, client.Close())
+}
--- a/internal/fleet/engine/stream.go
+++ b/internal/fleet/engine/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"redwinglock/internal/peer/body"
 	"redwinglock/internal/state/outcome"
 )
 
@@ -163,6 +164,10 @@
 	if s.ctx.Err() != nil {
 		return s.failure(outcome.CallerDisconnected, "the request was stopped")
 	}
+	if errors.Is(cause, errEventTooLong) || errors.Is(cause, body.ErrNoMemory) {
+		// A new connection would send the same event.
+		return s.failure(outcome.TargetInvalidResponse, "the engine sent an invalid answer: %v", cause)
+	}
 	s.silentConnections++
 	if s.silentConnections > maxSilentConnections {
 		return s.failure(outcome.TargetSilent, "the engine sent nothing on %d connections", s.silentConnections)
