--- a/internal/control/discovery/fetch.go
+++ b/internal/control/discovery/fetch.go
@@ -24,7 +24,7 @@
 	// large value. sinceParameter and eraParameter are the least position of the wanted one.
 	keyParameter  = "key"
 	baseParameter = "base"
-	// The headers of a large value describe it as Value and Transfer do.
+	// The headers of a large value describe it as sentValue does.
 	valueEraHeader      = "Redwinglock-Value-Era"
 	valueRevisionHeader = "Redwinglock-Value-Revision"
 	valueDigestHeader   = "Redwinglock-Value-Digest"
@@ -179,7 +179,7 @@
 func (d *Controller) requestValue(ctx context.Context, order readFromPeer) (*http.Response, error) {
 	query := url.Values{
 		keyParameter:   {order.value.Key},
-		sinceParameter: {strconv.FormatInt(order.value.At, 10)},
+		sinceParameter: {strconv.FormatInt(order.value.Revision, 10)},
 		eraParameter:   {strconv.FormatInt(int64(order.value.Era), 10)},
 		baseParameter:  {string(d.values.digest(order.value.Key))},
 	}
--- a/internal/control/discovery/fetchplan_test.go
+++ b/internal/control/discovery/fetchplan_test.go
@@ -18,7 +18,7 @@
 }
 
 func configValue(revision int64, source string) Value {
-	return Value{Key: "config", At: revision, Source: source}
+	return Value{Key: "config", Revision: revision, Source: source}
 }
 
 func TestFetchPlanReplay(t *testing.T) {
@@ -103,7 +103,7 @@
 	p := newFetchPlan()
 	require.Equal(t, store.NewPosition(0, 9), p.completeUntil(store.NewPosition(0, 9)))
 	p.want(time.Now(), configValue(5, "a"), 0)
-	p.want(time.Now(), Value{Key: "other", At: 7, Source: "a"}, 0)
+	p.want(time.Now(), Value{Key: "other", Revision: 7, Source: "a"}, 0)
 	require.Equal(t, store.NewPosition(0, 4), p.completeUntil(store.NewPosition(0, 9)))
 	require.Len(t, p.descriptions(), 2)
 }
--- a/internal/control/discovery/serve.go
+++ b/internal/control/discovery/serve.go
@@ -121,7 +121,7 @@
 	d.mu.Lock()
 	wanted := d.parsePosition(query.Get(sinceParameter), query.Get(eraParameter))
 	d.mu.Unlock()
-	transfer, found, err := d.values.transfer(query.Get(keyParameter), wanted, patch.Digest(query.Get(baseParameter)))
+	sent, found, err := d.values.transfer(query.Get(keyParameter), wanted, patch.Digest(query.Get(baseParameter)))
 	switch {
 	case err != nil:
 		d.log.WithError(err).Error("Value not sent to peer.")
@@ -133,10 +133,10 @@
 	}
 	header := w.Header()
 	header.Set("Content-Type", "application/zstd")
-	header.Set(valueEraHeader, strconv.FormatInt(int64(transfer.Value.Era), 10))
-	header.Set(valueRevisionHeader, strconv.FormatInt(transfer.Value.At, 10))
-	header.Set(valueDigestHeader, string(transfer.Value.Digest))
-	header.Set(valueBaseHeader, string(transfer.Base))
-	d.common.Metrics.Counter("value_sent_bytes").Inc(int64(len(transfer.Patch)))
-	_, _ = w.Write(transfer.Patch) // The peer may have disconnected; it asks again.
+	header.Set(valueEraHeader, strconv.FormatInt(int64(sent.Value.Era), 10))
+	header.Set(valueRevisionHeader, strconv.FormatInt(sent.Value.Revision, 10))
+	header.Set(valueDigestHeader, string(sent.Value.Digest))
+	header.Set(valueBaseHeader, string(sent.Base))
+	d.common.Metrics.Counter("value_sent_bytes").Inc(int64(len(sent.Patch)))
+	_, _ = w.Write(sent.Patch) // The peer may have disconnected; it asks again.
 }
--- a/internal/control/discovery/values.go
+++ b/internal/control/discovery/values.go
@@ -19,19 +19,19 @@
 
 // Value describes a large value that a peer reads apart from the other changes.
 type Value struct {
-	Key    string       `json:"key"`
-	Era    store.Era    `json:"era,omitempty"`
-	At     int64        `json:"revision"`
-	Digest patch.Digest `json:"digest"`
+	Key      string       `json:"key"`
+	Era      store.Era    `json:"era,omitempty"`
+	Revision int64        `json:"revision"`
+	Digest   patch.Digest `json:"digest"`
 	// Source is the base URL of a host that has the value, empty if it is the sender of this description.
 	Source string `json:"source,omitempty"`
 }
 
-func (v Value) position() store.Position { return store.NewPosition(v.Era, v.At) }
+func (v Value) position() store.Position { return store.NewPosition(v.Era, v.Revision) }
 
 // describe returns the description of an item with a large value.
 func describe(i store.Item, digest patch.Digest, source string) Value {
-	return Value{Key: i.Key, Era: i.Position.Era(), At: i.Position.Revision(), Digest: digest, Source: source}
+	return Value{Key: i.Key, Era: i.Position.Era(), Revision: i.Position.Revision(), Digest: digest, Source: source}
 }
 
 func isLarge(i store.Item) bool { return !i.Deleted && len(i.Data) > maxInlineBytes }
@@ -115,8 +115,8 @@
 	return nil
 }
 
-// Transfer is a large value as it is sent to a peer.
-type Transfer struct {
+// sentValue is a large value as it is sent to a peer.
+type sentValue struct {
 	Value Value
 	// Base is the digest of the value to which Patch is relative, empty if it is relative to none.
 	Base  patch.Digest
@@ -125,19 +125,19 @@
 
 // transfer returns the latest value of a key as a patch to a base of the peer, or false if the value is of an earlier
 // position than the wanted one.
-func (c *valueCache) transfer(key string, wanted store.Position, base patch.Digest) (Transfer, bool, error) {
+func (c *valueCache) transfer(key string, wanted store.Position, base patch.Digest) (sentValue, bool, error) {
 	c.mu.Lock()
 	latest := c.latest(key)
 	if latest == nil || latest.item.Position < wanted {
 		c.mu.Unlock()
-		return Transfer{}, false, nil
+		return sentValue{}, false, nil
 	}
-	transfer := Transfer{Value: describe(latest.item, latest.digest, ""), Base: base}
+	sent := sentValue{Value: describe(latest.item, latest.digest, ""), Base: base}
 	baseValue := c.find(key, base)
 	if baseValue == nil {
-		transfer.Base = ""
+		sent.Base = ""
 	}
-	kept := latest.patch(transfer.Base, baseValue)
+	kept := latest.patch(sent.Base, baseValue)
 	data := latest.item.Data
 	c.mu.Unlock()
 	kept.once.Do(func() {
@@ -145,10 +145,10 @@
 		kept.base = nil
 	})
 	if kept.err != nil {
-		return Transfer{}, false, fmt.Errorf("value of %s: %w", key, kept.err)
+		return sentValue{}, false, fmt.Errorf("value of %s: %w", key, kept.err)
 	}
-	transfer.Patch = kept.content
-	return transfer, true, nil
+	sent.Patch = kept.content
+	return sent, true, nil
 }
 
 // patch returns the patch from a base, which may not be computed yet. The caller must hold the lock of the cache.
--- a/internal/control/discovery/values_test.go
+++ b/internal/control/discovery/values_test.go
@@ -132,7 +132,7 @@
 	f.d.applyPeerItems(Items{
 		Era: later.Era(), Revision: later.Revision(), Partial: true,
 		Items:  []store.Item{{Key: "targets/i-1", Data: []byte(drainingTarget), Position: after + 2}},
-		Values: []Value{{Key: "config", Era: after.Era(), At: (after + 1).Revision(), Digest: patch.DigestOf(data)}},
+		Values: []Value{{Key: "config", Era: after.Era(), Revision: (after + 1).Revision(), Digest: patch.DigestOf(data)}},
 	}, "http://"+valuePeer)
 	return after + 1
 }
