engine: the bytes of an event are bounded, not its data only

Traced: the bound counted the data of an event, two of eight bytes of each of its lines, so a megabyte was read line by line for each answer, and lines without data were not bounded at all. The tests of the package pass with the race detector (31 s).

--- a/internal/fleet/engine/connection.go
+++ b/internal/fleet/engine/connection.go
@@ -74,7 +74,7 @@
 	lines := &lineReader{reader: bufio.NewReaderSize(answer, lineBufferBytes)}
 	var e rawEvent
 	for {
-		line, err := lines.next(len(e.data), memory)
+		line, err := lines.next(memory)
 		if err != nil {
 			return fmt.Errorf("read events: %w", err)
 		}
@@ -88,7 +88,9 @@
 				return fmt.Errorf("read events: %w", ctx.Err())
 			}
 			e = rawEvent{}
-			memory.Release()
+			lines.endEvent(memory)
+		case line == "":
+			lines.endEvent(memory)
 		case field == "id":
 			e.id, _ = strconv.ParseInt(value, 10, 64)
 		case field == "data" && e.data == nil:
@@ -102,18 +104,27 @@
 // lineReader reads the lines of events within the limits of an event.
 type lineReader struct {
 	reader *bufio.Reader
+	// eventBytes is the number of bytes since the last empty line.
+	eventBytes int
 }
 
-// next returns the next line without its end. eventBytes is the size of the event so far.
-func (r *lineReader) next(eventBytes int, memory *body.Reservation) (string, error) {
+// endEvent begins the next event.
+func (r *lineReader) endEvent(memory *body.Reservation) {
+	r.eventBytes = 0
+	memory.Release()
+}
+
+// next returns the next line without its end.
+func (r *lineReader) next(memory *body.Reservation) (string, error) {
 	var line []byte
 	for {
 		part, err := r.reader.ReadSlice('\n')
 		line = append(line, part...)
-		if eventBytes+len(line) > maxEventBytes {
+		r.eventBytes += len(part)
+		if r.eventBytes > maxEventBytes {
 			return "", errEventTooLong
 		}
-		if memoryErr := memory.Grow(eventBytes + cap(line)); memoryErr != nil {
+		if memoryErr := memory.Grow(r.eventBytes); memoryErr != nil {
 			return "", memoryErr
 		}
 		switch {
