--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -28,6 +28,16 @@
 	Quota Quota `yaml:"quota"`
 	// Rollout limits the requests that a bad version of a pool may receive.
 	Rollout Rollout `yaml:"rollout"`
+	// MaxHeaderBytes limits the size of the head of a request. Default 64 KiB.
+	MaxHeaderBytes int `yaml:"max-header-bytes"`
+	// SuspendStreams lets arbiters suspend running streams of less urgent classes, in pools whose
+	// configuration allows it.
+	SuspendStreams bool `yaml:"suspend-streams"`
+	// ReuseConnections sends requests that may run only once on recently used connections.
+	ReuseConnections bool `yaml:"reuse-connections"`
+	// KeptPrompts sends the sizes of prompt prefixes to arbiters, which then weigh the prompt tokens
+	// that a target still holds against the wait.
+	KeptPrompts bool `yaml:"kept-prompts"`
 	// StopServe is how long a stopping host accepts requests from callers that still have its
 	// address. Default 4s.
 	StopServe time.Duration `yaml:"stop-serve"`
@@ -59,6 +69,7 @@
 	setDefault(&g.StoreTimeout, time.Second)
 	setDefault(&g.AddressTTL, 2*time.Second)
 	setDefault(&g.MaxBodyBytes, 4<<20)
+	setDefault(&g.MaxHeaderBytes, 64<<10)
 	setDefault(&g.RetryShare, 0.1)
 	setDefault(&g.RetrySlack, 50)
 	setDefault(&g.StopServe, 4*time.Second)
@@ -88,6 +99,9 @@
 	if g.MaxBodyBytes < 0 {
 		c.addError("is negative", "gateway", "max-body-bytes")
 	}
+	if g.MaxHeaderBytes < 0 {
+		c.addError("is negative", "gateway", "max-header-bytes")
+	}
 	if g.Quota.Window < 0 || g.Quota.Overage < 0 || g.Quota.Slack < 0 {
 		c.addError("window, overage or slack is negative", "gateway", "quota")
 	}
