Requests of a starting fleet wait for the arbiter and its share of quotas

After a loss of all 32 hosts, 28 hosts were their own arbiter for 0.02 to 0.3 s with the share of one host, and refused 188 requests for account limits that the whole quota allows; these came back after their objective. With gateway.arbiter-wait, requests wait up to that time for the link to the arbiter, and at a new arbiter until its share of the quota has grown.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -189,6 +189,7 @@
 		return outcome.Refuse(outcome.HostStopping, stoppingRetryAfter, "this host is stopping")
 	}
 	s.awaitJoin(c.Request.Context())
+	s.arbiters.AwaitStart(c.Request.Context())
 	r.snapshot = s.board.Config()
 	if r.snapshot == nil {
 		return outcome.Refuse(outcome.NoConfiguration, noConfigurationRetryAfter, "this host has no configuration yet")
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -37,6 +37,11 @@
 	// newLink opens a link to another host. Tests replace it.
 	newLink func(c *Client, self wire.HostID, owner board.Member) link
 
+	// started is closed when requests need not wait for a link any more.
+	started chan struct{}
+	// linkOpened receives a value when a link to another host opens.
+	linkOpened chan struct{}
+
 	mu       sync.RWMutex
 	links    map[string]link      // By URL of the peer listener.
 	suspects map[string]time.Time // By URL of the peer listener: until when the arbiter is avoided.
@@ -50,20 +55,23 @@
 func New(c *common.Common, b *board.Board, local *front.Server, peers *http2.Client) *Client {
 	ctx, stop := context.WithCancel(context.Background())
 	client := &Client{
-		common:   c,
-		log:      c.Log("front"),
-		board:    b,
-		local:    local,
-		http:     peers,
-		links:    map[string]link{},
-		suspects: map[string]time.Time{},
-		usage:    newUsage(),
-		newLink:  newRemoteLink,
-		ctx:      ctx,
-		stop:     stop,
+		common:     c,
+		log:        c.Log("front"),
+		board:      b,
+		local:      local,
+		http:       peers,
+		links:      map[string]link{},
+		suspects:   map[string]time.Time{},
+		usage:      newUsage(),
+		newLink:    newRemoteLink,
+		started:    make(chan struct{}),
+		linkOpened: make(chan struct{}, 1),
+		ctx:        ctx,
+		stop:       stop,
 	}
 	client.done.Add(1)
 	go client.watchBoard()
+	client.done.Go(client.start)
 	return client
 }
 
--- a/internal/peer/arbiter/link.go
+++ b/internal/peer/arbiter/link.go
@@ -189,6 +189,7 @@
 	}
 	l.notices.Store(&known)
 	l.open.Store(true)
+	l.client.notifyLinkOpened()
 	l.client.moveAll()
 	return wire.ReadLoop(response.Body, peers.LinkTimeout, cancel, func(message wire.Down) {
 		l.client.receive(l, message)
--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -54,18 +54,18 @@
 // countFields returns the counts by class as fields of one log line.
 func countFields(counts map[object.TierName]*shard.Counts) logrus.Fields {
 	granted, grantedLate, refusedAgain := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
-	heldBack, diverted := map[object.TierName]int{}, map[object.TierName]int{}
+	heldBack, diverted, deferred := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
 	refused := refusalCounts{}
 	for class, c := range counts {
 		granted[class] = c.Granted
 		grantedLate[class] = c.GrantedLate
 		refused[class] = c.Refused
 		refusedAgain[class] = c.RefusedAgain
-		heldBack[class], diverted[class] = c.HeldBack, c.Diverted
+		heldBack[class], diverted[class], deferred[class] = c.HeldBack, c.Diverted, c.Deferred
 	}
 	return logrus.Fields{
 		"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain,
-		"waited-for-rate": heldBack, "diverted-by-rate": diverted,
+		"waited-for-rate": heldBack, "diverted-by-rate": diverted, "deferred-for-share": deferred,
 	}
 }
 
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -148,6 +148,7 @@
 	w = newWorker(pool, s.quotas, seedOf(s.board.Members().Self.Run), s.announcePrefix)
 	if g := s.common.Settings.Gateway; g != nil {
 		w.shard.SetRolloutLimits(shard.RolloutLimits{Share: g.Rollout.Share, Slack: g.Rollout.Slack})
+		w.shard.SetStartWait(g.ArbiterWait)
 	}
 	for _, n := range s.board.Notices().Notices(time.Now()) {
 		if n.Pool == pool {
--- a/internal/pool/shard/counts.go
+++ b/internal/pool/shard/counts.go
@@ -17,6 +17,8 @@
 	// HeldBack counts requests that waited while a target had a free slot and no more of its rate
 	// limit. Diverted counts grants of another target while there was such a target.
 	HeldBack, Diverted int
+	// Deferred counts requests that were admitted after they had waited for a larger share of a quota.
+	Deferred int
 }
 
 // countsOf returns the counts of a class.
@@ -45,6 +47,8 @@
 	}
 }
 
+func (s *Shard) countDeferred(q *request) { s.countsOf(q.tier.class).Deferred++ }
+
 // TakeCounts returns the counts by class and resets them.
 func (s *Shard) TakeCounts() map[object.TierName]*Counts {
 	counts := s.counts
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -44,8 +44,7 @@
 	}
 }
 
-// admit queues a new request. It refuses the request, or one that ranks lower, if there is no
-// capacity.
+// admit checks whether a new request may run at all and within its quota, and queues it.
 func (s *Shard) admit(now time.Time, q *request) {
 	s.requests[q.ID] = q
 	if q.Attempt <= 1 && !q.Moved && len(q.Avoid) == 0 {
@@ -54,16 +53,19 @@
 	if s.refuseHeld(now, q) {
 		return
 	}
+	s.beginShareGrowth(now)
 	if state, wait := s.chargeQuota(now, q); state != nil {
-		s.removeRequest(q)
-		s.countRefusal(q, outcome.AccountLimit)
-		s.recordRefusal(now, q)
-		s.decisions = append(s.decisions, Refuse{
-			ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: outcome.AccountLimit,
-			RetryAfter: s.extendRetryAfter(now, q, max(wait, minRetryAfter)), MayRetry: q.MayRetry, Quota: state,
-		})
+		if !s.deferForShare(now, q) {
+			s.refuseOverQuota(now, q, state, wait)
+		}
 		return
 	}
+	s.enqueueNew(now, q)
+}
+
+// enqueueNew queues a request that its quota allows. It refuses the request, or one that ranks lower, if
+// there is no capacity.
+func (s *Shard) enqueueNew(now time.Time, q *request) {
 	s.enqueue(q)
 	s.recordWaitLimit(now, q)
 	if !s.anyOpen() {
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -41,6 +41,8 @@
 	heldBack bool
 	// isolated is set while the request waits outside of the queues because of a suspect prefix.
 	isolated bool
+	// deferred is set while the request waits outside of the queues for a larger share of its quota.
+	deferred bool
 
 	// Set while running.
 	target    *target
@@ -173,6 +175,10 @@
 }
 
 func (s *Shard) dequeue(q *request) {
+	if q.deferred {
+		s.removeDeferred(q)
+		return
+	}
 	if q.isolated {
 		q.isolated = false
 		s.isolated = slices.DeleteFunc(s.isolated, func(other *request) bool { return other == q })
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -44,6 +44,7 @@
 	// not run now because of it; they are in no queue.
 	quarantine *quarantine.Tracker
 	isolated   []*request
+	growth     shareGrowth
 	// notices holds what targets have reported about themselves.
 	notices      *notice.Book
 	drainRate    drainRate
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -12,6 +12,7 @@
 	s.quarantine.Expire(now)
 	if !now.Before(s.warmUpUntil) {
 		s.releaseIsolated(now)
+		s.retryDeferred(now)
 		s.reopenTargets(now)
 		s.advanceRollout(now)
 		s.grantAll(now)
--- a/internal/pool/shard/summary.go
+++ b/internal/pool/shard/summary.go
@@ -7,7 +7,7 @@
 )
 
 // Waiting returns the number of waiting requests.
-func (s *Shard) Waiting() int { return s.waiting + len(s.isolated) }
+func (s *Shard) Waiting() int { return s.waiting + len(s.isolated) + len(s.growth.deferred) }
 
 // Summary describes the state of a pool for logs and metrics.
 type Summary struct {
--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -38,6 +38,9 @@
 	// KeptPrompts sends the sizes of prompt prefixes to arbiters, which then weigh the prompt tokens
 	// that a target still holds against the wait.
 	KeptPrompts bool `yaml:"kept-prompts"`
+	// ArbiterWait is how long the requests of a new host wait for a link to the arbiter, and how long
+	// requests at a new arbiter wait until it serves all hosts. 0 disables both waits.
+	ArbiterWait time.Duration `yaml:"arbiter-wait"`
 	// StopServe is how long a stopping host accepts requests from callers that still have its
 	// address. Default 4s.
 	StopServe time.Duration `yaml:"stop-serve"`
@@ -99,6 +102,9 @@
 	if g.MaxBodyBytes < 0 {
 		c.addError("is negative", "gateway", "max-body-bytes")
 	}
+	if g.ArbiterWait < 0 {
+		c.addError("is negative", "gateway", "arbiter-wait")
+	}
 	if g.MaxHeaderBytes < 0 {
 		c.addError("is negative", "gateway", "max-header-bytes")
 	}
