--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -43,11 +43,21 @@
 	// is empty, all hosts run Program.
 	Older, OlderSettings string
 	// Dir is the directory for the settings files of the hosts.
-	Dir     string
-	Hosts   int
-	Targets []standin.TargetSpec
-	Config  standin.Config
-	Bounds  Bounds
+	Dir   string
+	Hosts int
+	// MemoryMB is the memory of each host in MiB. Default 512.
+	MemoryMB int
+	Targets  []standin.TargetSpec
+	Config   standin.Config
+	Bounds   Bounds
+}
+
+// memoryMB returns the memory of each host in MiB.
+func (s Spec) memoryMB() int {
+	if s.MemoryMB == 0 {
+		return 512
+	}
+	return s.MemoryMB
 }
 
 // Site is a running deployment.
@@ -232,7 +242,7 @@
 	values := strings.NewReplacer(
 		"http://{{ip}}:{{internal_ports.0}}", "http://"+h.Peers.Address(),
 		"{{ip}}:{{internal_ports.0}}", listen(portPeers),
-		"{{node}}", h.Name, "{{zone}}", h.Zone, "{{ip}}", ip, "{{limits.cpu_share}}", "1", "{{limits.memory_mb}}", "512",
+		"{{node}}", h.Name, "{{zone}}", h.Zone, "{{ip}}", ip, "{{limits.cpu_share}}", "1", "{{limits.memory_mb}}", fmt.Sprint(s.spec.memoryMB()),
 		"key: \"{{platform.address}}\"", "key: \"peers\"",
 		"{{platform.address}}", h.ToStore.Address(),
 		"{{listen.front}}", h.Callers, "{{listen.ready}}", h.Ready, "{{listen.directory}}", h.Directory,
