common: bound the texts in log fields

A header value of a caller or a message with it went into log lines whole: a request with a token count of 30 KiB gave a line of 31069 bytes. Texts and errors in a log line are now cut at 1 KiB each.

--- a/internal/state/common/common.go
+++ b/internal/state/common/common.go
@@ -93,8 +93,33 @@
 	logrus.Formatter
 }
 
+// maxFieldBytes limits a text in a log line, which may contain data sent by a caller or target.
+const maxFieldBytes = 1 << 10
+
+// shorten limits a text to maxFieldBytes.
+func shorten(text string) string {
+	if len(text) <= maxFieldBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxFieldBytes], "") + "..."
+}
+
+// shortenFields limits the texts of a log line. The entry has its own copy of the fields.
+func shortenFields(entry *logrus.Entry) {
+	entry.Message = shorten(entry.Message)
+	for name, value := range entry.Data {
+		switch v := value.(type) {
+		case string:
+			entry.Data[name] = shorten(v)
+		case error:
+			entry.Data[name] = shorten(v.Error())
+		}
+	}
+}
+
 // Format implements logrus.Formatter.
 func (f *prefixFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	shortenFields(entry)
 	if part, ok := entry.Data[partField].(string); ok {
 		entry.Message = part + ": " + entry.Message
 	}
