heads: bound the memory of request heads and the number of connections

The parsed form of a head is many times larger than its bytes (2.0 MB with the copy for the target for 60 KiB of short lines), and nothing bounded their sum. A wrapper of the accepted connections now keeps a head until it is complete, counts its bytes, lines and list items against one budget of the host (an eighth of memory-mb, of which a quarter is kept for small heads) and holds the estimate until the request has ended. Larger heads get 431, heads without memory 503, incomplete ones are closed. Bodies pass through without a copy; trailers count like heads. A listener accepts a bounded number of connections and closes the one that was longest without a request.

--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -20,6 +20,7 @@
 	"redwinglock/internal/control/quotaburst"
 	"redwinglock/internal/control/rollout"
 	"redwinglock/internal/entry/gateway"
+	"redwinglock/internal/entry/heads"
 	"redwinglock/internal/fleet/passthrough"
 	"redwinglock/internal/peer/front"
 	"redwinglock/internal/peer/http2"
@@ -33,8 +34,7 @@
 	// callerIdleTimeout must exceed the time for which callers keep idle connections for reuse.
 	callerIdleTimeout = 60 * time.Second
 	// callerHeaderTimeout is the time that a caller has to send the header of a request.
-	callerHeaderTimeout  = 10 * time.Second
-	maxCallerHeaderBytes = 64 << 10
+	callerHeaderTimeout = 10 * time.Second
 	// leaveTimeout bounds the time to announce a stop to peers.
 	leaveTimeout = time.Second
 	// finalAnswerTime is the time before the end of a stop at which the requests that are left are answered.
@@ -170,49 +170,72 @@
 
 func (h *gatewayHost) start() error {
 	s := h.Common.Settings
-	otherServers := []struct {
-		address string
-		server  *http.Server
-	}{
-		{s.Peers.Listen, newServer(serveItems(peerHandler(h.Common, h.Arbiters, h.Members), h.Discovery))},
-		{s.Gateway.Readiness, newCallerServer(h.Gateway.ReadinessHandler())},
-		{s.Gateway.Directory, newCallerServer(h.Gateway.DirectoryHandler())},
-	}
-	for _, o := range otherServers {
-		l, err := listen(o.address, nil, o.server)
-		if err != nil {
-			return err
-		}
-		h.otherListeners = append(h.otherListeners, l)
+	peers := newServer(serveItems(peerHandler(h.Common, h.Arbiters, h.Members), h.Discovery))
+	l, err := listen(s.Peers.Listen, nil, peers)
+	if err != nil {
+		return err
 	}
-	if s.Gateway.Metrics != "" {
-		mux := http.NewServeMux()
-		mux.Handle(metricsPath, h.Metrics)
-		mux.Handle(gateway.PrefixesPath, h.Gateway.PrefixesHandler())
-		mux.Handle(gateway.ReleasePrefixPath, h.Gateway.PrefixesHandler())
-		l, err := listen(s.Gateway.Metrics, nil, newCallerServer(mux))
+	h.otherListeners = append(h.otherListeners, l)
+	guard := heads.NewGuard(h.Common, s.Gateway.MaxHeaderBytes, callerHeaderTimeout)
+	maxConnections := heads.MaxConnections(s.MemoryMB)
+	for _, o := range h.otherCallerServers() {
+		l, err := listenToCallers(guard, o, max(maxConnections/otherConnectionsDivisor, minOtherConnections))
 		if err != nil {
 			return err
 		}
 		h.otherListeners = append(h.otherListeners, l)
 	}
-	l, err := listen(s.Gateway.Callers, nil, newCallerServer(h.Gateway.Handler()))
-	if err != nil {
+	callers := callerServer{"callers", s.Gateway.Callers, h.Gateway.Handler()}
+	if h.callerListener, err = listenToCallers(guard, callers, maxConnections); err != nil {
 		return err
 	}
-	h.callerListener = l
 	h.log.WithFields(logrus.Fields{"host": s.Host, "zone": s.Zone, "run": h.Board.Members().Self.Run}).Info("Host started.")
 	return nil
 }
 
-func newCallerServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
+// callerServer is a server for callers that are not trusted.
+type callerServer struct {
+	name, address string
+	handler       http.Handler
+}
+
+const (
+	// otherConnectionsDivisor is by how much fewer connections the listeners beside that of the callers may have.
+	otherConnectionsDivisor = 8
+	// minOtherConnections leaves some for the platform and its checks on small hosts.
+	minOtherConnections = 64
+)
+
+// otherCallerServers returns the servers that share the budget of heads with that of the callers.
+func (h *gatewayHost) otherCallerServers() []callerServer {
+	s := h.Common.Settings.Gateway
+	servers := []callerServer{
+		{"readiness", s.Readiness, h.Gateway.ReadinessHandler()},
+		{"directory", s.Directory, h.Gateway.DirectoryHandler()},
+	}
+	if s.Metrics == "" {
+		return servers
+	}
+	mux := http.NewServeMux()
+	mux.Handle(metricsPath, h.Metrics)
+	mux.Handle(gateway.PrefixesPath, h.Gateway.PrefixesHandler())
+	mux.Handle(gateway.ReleasePrefixPath, h.Gateway.PrefixesHandler())
+	return append(servers, callerServer{"metrics", s.Metrics, mux})
+}
+
+// listenToCallers opens a listener whose connections are bounded in number and whose heads count against the guard.
+func listenToCallers(guard *heads.Guard, s callerServer, maxConnections int) (*listener, error) {
+	socket, err := openSocket(s.address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler:           s.handler,
 		ConnContext:       gateway.WithConnection,
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxCallerHeaderBytes,
 	}
+	return serve(guard.Protect(s.name, server, socket, maxConnections), server), nil
 }
 
 // stop shuts the host down gracefully. It withdraws the address and hands the pools over, serves
--- a/internal/control/host/listener.go
+++ b/internal/control/host/listener.go
@@ -39,9 +39,9 @@
 // listen opens the socket and serves in the background. It returns an error if the address or the
 // certificate is invalid.
 func listen(address string, certificates *settings.TLS, server *http.Server) (*listener, error) {
-	socket, err := net.Listen("tcp", address)
+	socket, err := openSocket(address)
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return nil, err
 	}
 	if certificates != nil {
 		config, err := serverTLS(certificates)
@@ -51,16 +51,29 @@
 		}
 		server.TLSConfig = config
 	}
+	return serve(socket, server), nil
+}
+
+func openSocket(address string) (net.Listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return socket, nil
+}
+
+// serve serves a socket in the background.
+func serve(socket net.Listener, server *http.Server) *listener {
 	l := &listener{server: server, socket: socket}
 	l.done.Go(func() {
 		// Serve returns when the server is shut down, so its error is ignored.
-		if certificates != nil {
+		if server.TLSConfig != nil {
 			_ = server.ServeTLS(socket, "", "")
 		} else {
 			_ = server.Serve(socket)
 		}
 	})
-	return l, nil
+	return l
 }
 
 // shutdown waits for active requests until ctx is done, then closes their connections.
