--- a/internal/entry/heads/guard_test.go
+++ b/internal/entry/heads/guard_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -113,24 +114,37 @@
 	requireAnswer(t, reader, http.StatusOK, "/x 3 <nil>")
 }
 
-// TestCallerThatLeavesIsNoticed guards against a wrapper that hides from a handler that its caller has gone, also one
-// that has sent a part of the next request.
+// TestCallerThatLeavesIsNoticed guards against a wrapper that hides from a handler that its caller has gone.
 func TestCallerThatLeavesIsNoticed(t *testing.T) {
-	for _, next := range []string{"", "G"} {
-		t.Run("next request: "+next, func(t *testing.T) {
-			began, ended := make(chan struct{}), make(chan struct{})
-			s := newTestServer(t, 10, func(_ http.ResponseWriter, r *http.Request) {
-				close(began)
-				<-r.Context().Done()
-				close(ended)
-			})
-			c, _ := s.dial(t)
-			fmt.Fprint(c, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
-			<-began
-			require.NoError(t, c.Close())
-			<-ended
-		})
-	}
+	began, ended := make(chan struct{}), make(chan struct{})
+	s := newTestServer(t, 10, func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	c, _ := s.dial(t)
+	fmt.Fprint(c, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	<-began
+	require.NoError(t, c.Close())
+	<-ended
+}
+
+// TestPartOfTheNextHeadDoesNotEndARequest guards against a running request that is canceled because the next head on
+// its connection is not complete within the time for a head.
+func TestPartOfTheNextHeadDoesNotEndARequest(t *testing.T) {
+	s := newTestServer(t, 10, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusGatewayTimeout)
+		case <-time.After(2 * testHeadTimeout):
+		}
+	})
+	c, reader := s.dial(t)
+	fmt.Fprint(c, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\naGET /")
+	requireAnswer(t, reader, http.StatusOK, "")
+	fmt.Fprint(c, "y HTTP/1.1\r\nHost: a\r\n\r\n")
+	requireAnswer(t, reader, http.StatusOK, "")
 }
 
 // TestRefusals guards against heads that are passed on although they are too large or the budget is used up.
@@ -157,6 +171,7 @@
 	fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: a\r\n", strings.Repeat("a:\n", 3000)) // Incomplete.
 	_, err = reader.ReadByte()
 	require.Error(t, err, "the connection is closed")
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection stays open")
 	s.guard.budget.use(-others)
 }
 
@@ -216,11 +231,27 @@
 	}
 	_, err := idle[0].ReadByte()
 	require.Error(t, err, "the oldest idle connection is closed")
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the oldest idle connection stays open")
 	close(end)
 	requireAnswer(t, busyReader, http.StatusOK, "")
 	require.LessOrEqual(t, s.listener.count(), 3)
 }
 
+// TestRequestOfAClosedConnectionDoesNotRun guards against a request that runs although its connection was closed, for
+// another one, at the moment when its head was complete.
+func TestRequestOfAClosedConnectionDoesNotRun(t *testing.T) {
+	l := &listener{maxConnections: 1}
+	first, second := &conn{listener: l}, &conn{listener: l}
+	l.add(first)
+	evicted, accepted := l.add(second)
+	require.True(t, accepted)
+	require.Equal(t, first, evicted)
+	require.False(t, l.setBusy(first))
+	require.True(t, l.setBusy(second))
+	_, accepted = l.add(&conn{listener: l})
+	require.False(t, accepted, "the only connection has a request")
+}
+
 // TestConnContextIsKept guards against a server that loses its own context of connections.
 func TestConnContextIsKept(t *testing.T) {
 	type key struct{}
