--- a/internal/entry/heads/listener.go
+++ b/internal/entry/heads/listener.go
@@ -30,13 +30,13 @@
 		c := &conn{Conn: socket, guard: l.guard, listener: l, buffer: reservation{budget: l.guard.budget}, request: reservation{budget: l.guard.budget}}
 		evicted, accepted := l.add(c)
 		if evicted != nil {
-			l.guard.report(reasonManyConnection, evicted)
+			l.guard.report(reasonConnections, evicted)
 			evicted.Close()
 		}
 		if accepted {
 			return c, nil
 		}
-		l.guard.report(reasonManyConnection, c)
+		l.guard.report(reasonConnections, c)
 		socket.Close()
 	}
 }
--- a/internal/entry/heads/refuse.go
+++ b/internal/entry/heads/refuse.go
@@ -14,10 +14,10 @@
 type reason string
 
 const (
-	reasonTooLarge       reason = "too-large"
-	reasonNoMemory       reason = "no-memory"
-	reasonTimeout        reason = "timeout"
-	reasonManyConnection reason = "connections"
+	reasonTooLarge    reason = "too-large"
+	reasonNoMemory    reason = "no-memory"
+	reasonTimeout     reason = "timeout"
+	reasonConnections reason = "connections"
 )
 
 const (
