passthrough: send calls that may run once on recently used connections

Each of them opened a connection of its own, because http.Transport may send a call again on another connection.

--- a/internal/fleet/passthrough/client.go
+++ b/internal/fleet/passthrough/client.go
@@ -10,11 +10,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
 
 	"redwinglock/internal/peer/body"
@@ -48,28 +50,54 @@
 	Header http.Header
 	Body   []byte
 	// Idempotent calls may use an idle connection, on which the transport may retry them. All
-	// other calls get a new connection, so that they cannot receive an answer to an earlier
-	// request.
+	// other calls are sent at most once, on a new connection unless ReuseRecent is set.
 	Idempotent bool
+	// ReuseRecent lets a call that is not idempotent use a connection that was idle for at most
+	// maxRecentIdle. It needs RequestID and IsStray.
+	ReuseRecent bool
+	// RequestID is the id that the response must have. A connection carries each id only once.
+	RequestID string
+	// IsStray reports whether a response belongs to another call.
+	IsStray func(*http.Response) bool
 }
 
 // Client sends calls to targets.
 type Client struct {
+	counters  *counters
 	keepAlive *http.Transport
 	singleUse *http.Transport
+	recent    *recentConnections
+}
+
+// Option changes a client.
+type Option func(*Client)
+
+// WithMetrics counts connections in a scope.
+func WithMetrics(scope tally.Scope) Option {
+	return func(c *Client) { c.counters = newCounters(scope) }
 }
 
 // New creates a client.
-func New() *Client {
-	return &Client{keepAlive: newTransport(false), singleUse: newTransport(true)}
+func New(options ...Option) *Client {
+	c := &Client{counters: newCounters(tally.NoopScope)}
+	for _, apply := range options {
+		apply(c)
+	}
+	dialer := newDialer()
+	c.keepAlive, c.singleUse = newTransport(dialer, false), newTransport(dialer, true)
+	c.recent = newRecentConnections(dialer, c.counters)
+	return c
 }
 
-func newTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{
+func newDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 		Control:         setUserTimeout,
 	}
+}
+
+func newTransport(dialer *net.Dialer, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableKeepAlives:      disableKeepAlives,
@@ -97,6 +125,41 @@
 // ErrNotSent, the target received nothing. After any other error the target may have executed
 // the call.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	response, err := c.send(ctx, call)
+	switch {
+	case err == nil:
+		return response, nil
+	case isDialError(err), errors.Is(err, ErrNotSent):
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return nil, fmt.Errorf("send: %w", err)
+}
+
+// send picks the connections for a call and sends it.
+func (c *Client) send(ctx context.Context, call Call) (*http.Response, error) {
+	request, err := newRequest(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, c.counters.trace))
+	if call.Idempotent {
+		return c.keepAlive.RoundTrip(request)
+	}
+	if call.mayReuse() && request.URL.Scheme == "http" && !c.recent.usesNewOnly(addressOf(request.URL)) {
+		return c.recent.send(ctx, call, func() (*http.Request, error) { return newRequest(ctx, call) })
+	}
+	request.GetBody = nil // Prevents the transport from resending the body in a retry.
+	return c.singleUse.RoundTrip(request)
+}
+
+// mayReuse reports whether a call that is not idempotent may use a recent connection. The end of a
+// response to another call cannot be found if the methods differ in whether a response has a body.
+func (c *Call) mayReuse() bool {
+	return c.ReuseRecent && c.RequestID != "" && c.IsStray != nil && c.Method != http.MethodHead && c.Method != http.MethodConnect
+}
+
+// newRequest returns the request of a call, or an error that wraps ErrNotSent.
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, call.Address, bodyReader(call.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: create request: %w", ErrNotSent, err)
@@ -108,20 +171,7 @@
 	request.Host = call.Host
 	request.Header = call.Header
 	request.ContentLength = int64(len(call.Body))
-	transport := c.singleUse
-	if call.Idempotent {
-		transport = c.keepAlive
-	} else {
-		request.GetBody = nil // Prevents the transport from resending the body in a retry.
-	}
-	response, err := transport.RoundTrip(request)
-	if err != nil && isDialError(err) {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	if err != nil {
-		return nil, fmt.Errorf("send: %w", err)
-	}
-	return response, nil
+	return request, nil
 }
 
 // CheckURI returns an error if a path and query cannot be forwarded unchanged.
@@ -165,5 +215,6 @@
 func (c *Client) Close() error {
 	c.keepAlive.CloseIdleConnections()
 	c.singleUse.CloseIdleConnections()
+	c.recent.close()
 	return nil
 }
