--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -129,8 +129,8 @@
 	return m
 }
 
-func newPassthrough(lc fx.Lifecycle) *passthrough.Client {
-	client := passthrough.New()
+func newPassthrough(lc fx.Lifecycle, c *common.Common) *passthrough.Client {
+	client := passthrough.New(passthrough.WithMetrics(c.Metrics))
 	lc.Append(fx.StopHook(client.Close))
 	return client
 }
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -51,12 +51,14 @@
 		dispatch.Account = r.account.Name
 	}
 	s.dialect.WriteDispatch(call.Header, dispatch)
+	s.allowReuse(&call, r)
 	sentAt := time.Now()
 	response, err := s.targets.Do(sendCtx, call)
 	if errors.Is(err, passthrough.ErrNotSent) {
 		return wire.Finish{}, err
 	}
 	if err != nil {
+		s.recordReuseFailure(r, target, err)
 		return wire.Finish{Broken: true}, outcome.NotCompleted(outcome.Unknown, outcome.TargetLost, "target %s: %v", target.Name, err)
 	}
 	defer response.Body.Close()
@@ -64,7 +66,8 @@
 	reply := s.dialect.ReadReply(response.StatusCode, response.Header)
 	// On a kept connection, a copy of an earlier answer may arrive first. Refusals of requests that cannot be
 	// read have no id.
-	isOwn := reply.ID == r.info.ID || reply.ID == "" && (reply.NotRun || reply.Misdirected) && !call.Idempotent
+	isOnNewConnection := !call.Idempotent && !passthrough.IsReused(response)
+	isOwn := reply.ID == r.info.ID || reply.ID == "" && (reply.NotRun || reply.Misdirected) && isOnNewConnection
 	if isOwn {
 		s.recordNotice(r, target, reply, sentAt)
 	}
@@ -76,11 +79,12 @@
 	}
 	stats, err := a.copy(response)
 	finish := wire.Finish{
-		Dispatched:   true,
-		Failed:       failed,
-		Completed:    err == nil && response.StatusCode < http.StatusMultipleChoices,
-		Begun:        err == nil || stats.events >= begunEvents,
-		PromptTokens: r.info.PromptTokens,
+		Dispatched:     true,
+		Failed:         failed,
+		Completed:      err == nil && response.StatusCode < http.StatusMultipleChoices,
+		Begun:          err == nil || stats.events >= begunEvents,
+		PromptTokens:   r.info.PromptTokens,
+		ConnectionKept: err == nil && !reply.Leaving && passthrough.Keep(response),
 	}
 	if stats.events == 0 {
 		finish.TotalUS = time.Since(sentAt).Microseconds()
@@ -151,6 +155,7 @@
 	r.log.WithFields(s.stop.logFields(r)).WithFields(logrus.Fields{
 		"route": r.route.Name, "tier": r.tier(), "class": r.route.Tier, "target": target.Name, "status": response.StatusCode, "attempts": r.attempts, "rate-counted": r.rateCounted,
 		"framing": framingOf(response), "events": a.events.count, "bytes-after-last-event": len(a.events.partial),
+		"connection-reused": passthrough.IsReused(response), "connection-kept": f.ConnectionKept,
 		"waited-ms": sentAt.Sub(r.arrived).Milliseconds(), "first-ms": f.FirstTokenMS, "total-ms": now.Sub(r.arrived).Milliseconds(),
 		"prompt-tokens": r.info.PromptTokens, "output-tokens": r.info.OutputTokens,
 		"config-revision": r.snapshot.Revision, "target-revision": r.snapshot.TargetRevision,
--- a/internal/fleet/passthrough/answer.go
+++ b/internal/fleet/passthrough/answer.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// answerBody is the body of an answer. At its end it releases the connection.
+// answerBody is the body of an answer on a connection of the pool.
 type answerBody struct {
 	content    io.ReadCloser
 	connection *connection
@@ -25,40 +25,49 @@
 	written <-chan error
 	reused  bool
 
-	ended sync.Once
-	kept  atomic.Bool
+	// complete is set at the end of the body.
+	complete atomic.Bool
+	released sync.Once
 }
 
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.content.Read(p)
-	if err == nil {
-		return n, nil
+	if errors.Is(err, io.EOF) {
+		b.complete.Store(true)
+		return n, err
 	}
-	b.ended.Do(func() { b.end(errors.Is(err, io.EOF)) })
-	if !errors.Is(err, io.EOF) && b.ctx.Err() != nil {
+	if err != nil && b.ctx.Err() != nil {
 		return n, fmt.Errorf("read answer: %w", context.Cause(b.ctx))
 	}
 	return n, err
 }
 
-// Close closes the connection if the answer has not been read to its end.
+// Close closes the connection, unless it was kept.
 func (b *answerBody) Close() error {
-	b.ended.Do(func() { b.end(false) })
+	b.released.Do(func() {
+		b.stop()
+		_ = b.connection.Conn.Close()
+	})
 	return nil
 }
 
-// end keeps the connection for the next call if the answer is complete, otherwise closes it.
-func (b *answerBody) end(complete bool) {
-	isAttached := b.stop()
-	if complete && isAttached && b.mayKeep() {
-		b.kept.Store(b.pool.release(b.connection))
-		return
+// keep puts the connection into the pool if the target expects further calls on it.
+func (b *answerBody) keep() bool {
+	kept := false
+	if !b.complete.Load() || !b.mayKeep() {
+		return false // Close closes the connection.
 	}
-	_ = b.connection.Conn.Close()
+	b.released.Do(func() {
+		if !b.stop() {
+			return // The end of the context closes the connection.
+		}
+		kept = b.pool.release(b.connection)
+	})
+	return kept
 }
 
-// mayKeep reports whether the target expects further calls on the connection.
+// mayKeep reports whether the target expects further calls on the connection of a complete answer.
 func (b *answerBody) mayKeep() bool {
 	if b.response.Close || b.connection.skipped || b.connection.reader.Buffered() > 0 || forbidsReuse(b.response.Header) {
 		return false
@@ -92,11 +101,10 @@
 	return ok && b.reused
 }
 
-// IsKept reports whether the connection of a response is idle now and may carry another call.
-func IsKept(response *http.Response) bool {
+// Keep keeps the connection of a response for the next call to the target, if the body was read to
+// its end and the target allows it, and reports whether it did. Otherwise closing the body closes the
+// connection. Call it only if the answer was whole.
+func Keep(response *http.Response) bool {
 	b, ok := response.Body.(*answerBody)
-	return ok && b.kept.Load()
+	return ok && b.keep()
 }
-
-// DoNotKeep closes the connection of a response at its end.
-func DoNotKeep(response *http.Response) { response.Close = true }
--- a/internal/fleet/passthrough/exchange.go
+++ b/internal/fleet/passthrough/exchange.go
@@ -86,8 +86,8 @@
 	return n, err
 }
 
-// exchange sends a call on a connection and reads the head of the answer. The body of the answer
-// releases the connection at its end.
+// exchange sends a call on a connection and reads the head of the answer. Closing the body of the
+// answer closes the connection, unless Keep has kept it.
 func (r *recentConnections) exchange(ctx context.Context, c *connection, request *http.Request, id uint64, isStray func(*http.Response) bool) (*http.Response, error) {
 	c.calls = append(c.calls, id)
 	c.hasReceived, c.skipped, c.written = false, false, 0
