shard: prefer targets to which the front has an idle connection

Each pair of a front and a target is used once in several seconds, so connections were rarely used again.

--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -35,6 +35,7 @@
 	for _, c := range counts {
 		s.countRateLimited("held-back", c.HeldBack)
 		s.countRateLimited("diverted", c.Diverted)
+		s.common.Metrics.Counter("grants_on_idle_connections").Inc(int64(c.OnIdleConnection))
 	}
 	return countFields(counts)
 }
@@ -54,6 +55,7 @@
 // countFields returns the counts by class as fields of one log line.
 func countFields(counts map[object.TierName]*shard.Counts) logrus.Fields {
 	granted, grantedLate, refusedAgain := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
+	onIdleConnection := map[object.TierName]int{}
 	heldBack, diverted := map[object.TierName]int{}, map[object.TierName]int{}
 	refused := refusalCounts{}
 	for class, c := range counts {
@@ -61,11 +63,13 @@
 		grantedLate[class] = c.GrantedLate
 		refused[class] = c.Refused
 		refusedAgain[class] = c.RefusedAgain
+		onIdleConnection[class] = c.OnIdleConnection
 		heldBack[class], diverted[class] = c.HeldBack, c.Diverted
 	}
 	return logrus.Fields{
 		"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain,
 		"waited-for-rate": heldBack, "diverted-by-rate": diverted,
+		"on-idle-connection": onIdleConnection,
 	}
 }
 
--- a/internal/pool/shard/counts.go
+++ b/internal/pool/shard/counts.go
@@ -17,6 +17,8 @@
 	// HeldBack counts requests that waited while a target had a free slot and no more of its rate
 	// limit. Diverted counts grants of another target while there was such a target.
 	HeldBack, Diverted int
+	// OnIdleConnection counts grants of a target to which the front has an idle connection.
+	OnIdleConnection int
 }
 
 // countsOf returns the counts of a class.
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -116,6 +116,7 @@
 	s.stopRunning(q)
 	s.removeRequest(q)
 	s.recordAttempt(now, q, t, f)
+	s.recordConnection(now, q, t, f)
 	switch {
 	case f.Unreachable:
 		s.startBackoff(now, t)
--- a/internal/pool/shard/placement.go
+++ b/internal/pool/shard/placement.go
@@ -43,7 +43,7 @@
 			return best
 		}
 	}
-	return least
+	return s.preferConnection(now, q, side, least)
 }
 
 // leastLoaded returns the least loaded target among those that can answer in time, or the one
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -39,6 +39,7 @@
 	paused         []*target // Targets that rejected a request or requested a pause.
 	limited        []*target // Targets that name a rate limit.
 	prefixes       *prefixMap
+	connections    idleConnections
 	leavingTargets map[object.TargetName]bool
 	// quarantine finds prompt prefixes that crash targets. isolated holds the waiting requests that may
 	// not run now because of it; they are in no queue.
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -64,6 +64,7 @@
 			s.rollout.trial.Grant(q.tier.class, s.rollout.sideOf(t))
 		}
 		s.countDiverted(q)
+		s.useConnection(now, q, t)
 		s.takeRate(now, t)
 		watch := s.quarantine.Granted(now, q.ID, q.Prefixes)
 		s.startRunning(now, q, t)
