--- a/internal/fleet/passthrough/recent_test.go
+++ b/internal/fleet/passthrough/recent_test.go
@@ -355,7 +355,13 @@
 // TestCallOfWhichNothingWasWrittenIsSentOnANewConnection guards against the loss of a call if the
 // connection fails between its check and the first byte.
 func TestCallOfWhichNothingWasWrittenIsSentOnANewConnection(t *testing.T) {
-	target := newRawTarget(t, answerEach)
+	target := newRawTarget(t, func(r received) bool {
+		answerEach(r)
+		if r.number == 1 {
+			time.Sleep(200 * time.Millisecond) // The target does not see the end of the stream.
+		}
+		return true
+	})
 	c := newCaller(t, target)
 	c.answered(c.call("POST", "order"))
 	for _, all := range c.client.recent.idle {
@@ -416,6 +422,24 @@
 	}
 }
 
+// TestUnreadAnswerDoesNotKeepItsConnection guards against the rest of an answer that was not read being
+// taken for the next one.
+func TestUnreadAnswerDoesNotKeepItsConnection(t *testing.T) {
+	c := newCaller(t, newRawTarget(t, func(r received) bool {
+		_, _ = io.WriteString(r.conn, "HTTP/1.1 200 OK\r\nId: "+r.id+"\r\nContent-Length: 8\r\n\r\n")
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(r.conn, "answered")
+		return true
+	}))
+	response, err := c.client.Do(context.Background(), c.call("POST", "order"))
+	require.NoError(t, err)
+	require.False(t, Keep(response))
+	require.NoError(t, response.Body.Close())
+	_, reused, _, err := c.do(c.call("POST", "order"))
+	require.NoError(t, err)
+	require.False(t, reused)
+}
+
 // TestTargetThatAnswersBeforeItHasReadTheCall guards against waiting for the end of the call, and
 // against keeping a connection on which a part of it is due.
 func TestTargetThatAnswersBeforeItHasReadTheCall(t *testing.T) {
