--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -35,7 +35,7 @@
 	for _, c := range counts {
 		s.countRateLimited("held-back", c.HeldBack)
 		s.countRateLimited("diverted", c.Diverted)
-		s.common.Metrics.Counter("grants_on_idle_connections").Inc(int64(c.OnIdleConnection))
+		s.countOnIdleConnection(c.OnIdleConnection)
 	}
 	return countFields(counts)
 }
@@ -49,6 +49,14 @@
 	s.common.Metrics.Tagged(map[string]string{"effect": effect}).Counter("rate_limited_requests").Inc(int64(n))
 }
 
+// countOnIdleConnection counts grants of targets to which the front has an idle connection.
+func (s *Server) countOnIdleConnection(n int) {
+	if n == 0 {
+		return
+	}
+	s.common.Metrics.Counter("grants_on_idle_connections").Inc(int64(n))
+}
+
 // refusalCounts holds the number of refusals by class and reason.
 type refusalCounts map[object.TierName]map[outcome.Reason]int
 
--- a/internal/pool/shard/connections.go
+++ b/internal/pool/shard/connections.go
@@ -93,7 +93,7 @@
 
 // recordConnection remembers the connection on which a request was answered, if its front has kept it.
 func (s *Shard) recordConnection(now time.Time, q *request, t *target, f wire.Finish) {
-	if f.ConnectionKept && !t.closed && q.Front != "" {
+	if f.ConnectionKept && !t.closed {
 		s.connections.release(now, q.Front, t.name)
 	}
 }
--- a/internal/pool/shard/connections_test.go
+++ b/internal/pool/shard/connections_test.go
@@ -188,3 +188,79 @@
 	require.GreaterOrEqual(t, with.reused/with.granted, 2*without.reused/without.granted)
 	require.GreaterOrEqual(t, with.onTime/with.all, without.onTime/without.all)
 }
+
+// TestPreferenceForAnIdleConnection guards against preferences that are too strong, that outlive the
+// connection, or that name targets which may not be used.
+func TestPreferenceForAnIdleConnection(t *testing.T) {
+	rows := []struct {
+		name   string
+		change func(*bench, *target)
+		front  wire.HostID
+		want   object.TargetName
+	}{
+		{"idle connection", func(*bench, *target) {}, "f", "engine-3"},
+		{"of another front", func(*bench, *target) {}, "g", "engine-1"},
+		{"released too long ago", func(b *bench, _ *target) { b.advance(maxReleaseAge) }, "f", "engine-1"},
+		{"slightly more loaded", func(b *bench, t *target) { t.inFlight = 1; b.shard.updateReady(t) }, "f", "engine-3"},
+		{"much more loaded", func(b *bench, t *target) { t.inFlight = 2; b.shard.updateReady(t) }, "f", "engine-1"},
+		{"late there", func(b *bench, t *target) { t.prefillUntil = b.now.Add(time.Second) }, "f", "engine-1"},
+		{"draining", func(b *bench, t *target) { t.closed = true; b.shard.updateReady(t) }, "f", "engine-1"},
+		{"restarted or removed", func(b *bench, t *target) { b.shard.ready.remove(t); delete(b.shard.targets, t.name) }, "f", "engine-1"},
+		{"avoided", func(*bench, *target) {}, "avoiding", "engine-1"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			b := newDiscoveredBench(t, 3, 4)
+			c := b.shard.targets["engine-3"]
+			b.shard.connections.release(b.now, "f", c.name)
+			b.shard.connections.release(b.now, "avoiding", c.name)
+			row.change(b, c)
+			_, decisions := b.send("first", func(r *wire.Register) {
+				r.Front, r.AnswerWithinMS = row.front, 500
+				if row.front == "avoiding" {
+					r.Avoid = []object.TargetName{c.name}
+				}
+			})
+			require.Equal(t, row.want, decisions[0].(Grant).Target)
+		})
+	}
+}
+
+// TestIdleConnectionIsUsedOnce guards against sending many requests to a target for one connection, and
+// against remembering connections that the front has not kept.
+func TestIdleConnectionIsUsedOnce(t *testing.T) {
+	b := newDiscoveredBench(t, 3, 4)
+	send := func() Grant {
+		_, decisions := b.send("first", func(r *wire.Register) { r.Front = "f" })
+		return decisions[0].(Grant)
+	}
+	first, second := send(), send()
+	require.Equal(t, targetName(1), second.Target)
+	b.shard.Finish(b.now, wire.Finish{ID: second.ID, Dispatched: true, Completed: true, ConnectionKept: true})
+	b.shard.Finish(b.now, wire.Finish{ID: first.ID, Dispatched: true, Completed: true})
+	require.Equal(t, targetName(1), send().Target)
+	require.Equal(t, targetName(0), send().Target)
+	counts := b.shard.TakeCounts()["first"]
+	require.Equal(t, 1, counts.OnIdleConnection)
+	require.Equal(t, 4, counts.Granted)
+}
+
+// TestRememberedConnectionsAreBounded guards against memory that grows with fronts and targets, and that
+// stays after fronts have ended.
+func TestRememberedConnectionsAreBounded(t *testing.T) {
+	var c idleConnections
+	now := time.Unix(1000, 0)
+	for i := range 40 {
+		c.release(now, "f", targetName(i))
+	}
+	require.Len(t, c.of(now, "f"), maxConnectionsOfFront)
+	require.Equal(t, targetName(39), c.of(now, "f")[maxConnectionsOfFront-1].target)
+	for i := range 2 * maxReleases {
+		c.release(now, wire.HostID(fmt.Sprint(i)), "t")
+	}
+	require.LessOrEqual(t, len(c.releases), maxReleases)
+	require.LessOrEqual(t, len(c.byFront), maxReleases)
+	c.expire(now.Add(maxReleaseAge))
+	require.Empty(t, c.releases)
+	require.Empty(t, c.byFront)
+}
