--- a/internal/pool/shard/connections.go
+++ b/internal/pool/shard/connections.go
@@ -19,6 +19,9 @@
 	maxReleases = 8192
 	// connectionBias is how much more loaded a target may be to which the front has an idle connection.
 	connectionBias = 0.3
+	// newConnectionCost is the time that a new connection takes: a round trip between zones and work at
+	// the target. For a greater delay of the answer, an idle connection is no gain.
+	newConnectionCost = 4 * time.Millisecond
 )
 
 // releasedConnection is the connection of a front to a target that became idle.
@@ -107,7 +110,7 @@
 }
 
 // preferConnection returns the least loaded target to which the front has an idle connection, if the
-// answer begins in time there and it is not much more loaded than the given target. Otherwise it
+// answer begins in time there, not much later than at the given target, which is not much less loaded. Otherwise it
 // returns the given one. A new connection costs a round trip and work at the target.
 func (s *Shard) preferConnection(now time.Time, q *request, side trial.Side, otherwise *target) *target {
 	if !s.startsInTime(now, q, otherwise) || otherwise.tooSlow(now, q) {
@@ -125,6 +128,9 @@
 		if t.load() > otherwise.load()+connectionBias || t.tooSlow(now, q) || !s.startsInTime(now, q, t) {
 			continue
 		}
+		if t.engine && s.answerStart(now, q, t).Sub(s.answerStart(now, q, otherwise)) > newConnectionCost {
+			continue
+		}
 		if best == nil || t.load() < best.load() {
 			best = t
 		}
