--- a/internal/pool/shard/connections_test.go
+++ b/internal/pool/shard/connections_test.go
@@ -243,7 +243,13 @@
 		{"slightly more loaded", func(b *bench, t *target) { t.inFlight = 1; b.shard.updateReady(t) }, "f", "engine-3"},
 		{"much more loaded", func(b *bench, t *target) { t.inFlight = 2; b.shard.updateReady(t) }, "f", "engine-1"},
 		{"late there", func(b *bench, t *target) { t.prefillUntil = b.now.Add(time.Second) }, "f", "engine-1"},
-		{"draining", func(b *bench, t *target) { t.closed = true; b.shard.updateReady(t) }, "f", "engine-1"},
+		{"draining, while the others are busy", func(b *bench, t *target) {
+			t.closed = true
+			for _, t := range b.shard.targets {
+				t.inFlight = 3
+				b.shard.updateReady(t)
+			}
+		}, "f", "engine-1"},
 		{"restarted or removed", func(b *bench, t *target) { b.shard.ready.remove(t); delete(b.shard.targets, t.name) }, "f", "engine-1"},
 		{"avoided", func(*bench, *target) {}, "avoiding", "engine-1"},
 	}
@@ -292,7 +298,7 @@
 	for i := range 40 {
 		c.release(now, "f", targetName(i))
 	}
-	require.Len(t, c.of(now, "f"), maxConnectionsOfFront)
+	require.Equal(t, maxConnectionsOfFront, len(c.of(now, "f")))
 	require.Equal(t, targetName(39), c.of(now, "f")[maxConnectionsOfFront-1].target)
 	for i := range 2 * maxReleases {
 		c.release(now, wire.HostID(fmt.Sprint(i)), "t")
@@ -300,6 +306,6 @@
 	require.LessOrEqual(t, len(c.releases), maxReleases)
 	require.LessOrEqual(t, len(c.byFront), maxReleases)
 	c.expire(now.Add(maxReleaseAge))
-	require.Empty(t, c.releases)
-	require.Empty(t, c.byFront)
+	require.Zero(t, len(c.releases))
+	require.Zero(t, len(c.byFront))
 }
