--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -35,6 +35,7 @@
 	for _, c := range counts {
 		s.countRateLimited("held-back", c.HeldBack)
 		s.countRateLimited("diverted", c.Diverted)
+		s.countOnIdleConnection(c.OnIdleConnection)
 	}
 	return countFields(counts)
 }
@@ -48,12 +49,21 @@
 	s.common.Metrics.Tagged(map[string]string{"effect": effect}).Counter("rate_limited_requests").Inc(int64(n))
 }
 
+// countOnIdleConnection counts grants of targets to which the front has an idle connection.
+func (s *Server) countOnIdleConnection(n int) {
+	if n == 0 {
+		return
+	}
+	s.common.Metrics.Counter("grants_on_idle_connections").Inc(int64(n))
+}
+
 // refusalCounts holds the number of refusals by class and reason.
 type refusalCounts map[object.TierName]map[outcome.Reason]int
 
 // countFields returns the counts by class as fields of one log line.
 func countFields(counts map[object.TierName]*shard.Counts) logrus.Fields {
 	granted, grantedLate, refusedAgain := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
+	onIdleConnection := map[object.TierName]int{}
 	heldBack, diverted, deferred := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
 	refused := refusalCounts{}
 	for class, c := range counts {
@@ -61,11 +71,13 @@
 		grantedLate[class] = c.GrantedLate
 		refused[class] = c.Refused
 		refusedAgain[class] = c.RefusedAgain
+		onIdleConnection[class] = c.OnIdleConnection
 		heldBack[class], diverted[class], deferred[class] = c.HeldBack, c.Diverted, c.Deferred
 	}
 	return logrus.Fields{
 		"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain,
 		"waited-for-rate": heldBack, "diverted-by-rate": diverted, "deferred-for-share": deferred,
+		"on-idle-connection": onIdleConnection,
 	}
 }
 
--- a/internal/pool/shard/counts.go
+++ b/internal/pool/shard/counts.go
@@ -19,6 +19,8 @@
 	HeldBack, Diverted int
 	// Deferred counts requests that were admitted after they had waited for a larger share of a quota.
 	Deferred int
+	// OnIdleConnection counts grants of a target to which the front has an idle connection.
+	OnIdleConnection int
 }
 
 // countsOf returns the counts of a class.
