pool/quarantine: a prompt prefix of all requests is not held by the first few of them

After a restart of all hosts, an arbiter that had just taken over learned that the prefix was suspect. Two isolated requests met one crashed target whose address still accepted connections, and were counted as two crashes; with a third one the prefix was held before 20 requests had arrived, that is before its share of all requests was known. A held prefix is not run again, so nothing cleared it.

A crash now counts once against a suspect prefix, and no prefix is held before its share is known.

--- a/internal/pool/quarantine/crash.go
+++ b/internal/pool/quarantine/crash.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"redwinglock/internal/peer/wire"
@@ -78,15 +79,23 @@
 	}
 }
 
-// confirm counts a crash of a target against the prefixes of the requests that it had not begun to answer.
+// confirm counts a crash of a target against the prefixes of the requests that it had not begun to answer. A crash
+// counts once against a prefix that is suspect: of two isolated requests, the later one was sent to a target that was
+// already gone.
 func (t *Tracker) confirm(now time.Time, target object.TargetName) {
 	b := t.breaks[target]
 	delete(t.breaks, target)
+	blamed := map[wire.PrefixHash]bool{}
 	for _, a := range b.unbegun {
 		if !t.IsSuspect(a.Prefixes) {
 			t.crashed.add(now, 1) // Those of suspect prefixes did not meet the crash by chance.
 		}
 		for _, prefix := range candidates(a.Prefixes) {
+			isIsolated := slices.Contains(a.isolatedFor, prefix)
+			if isIsolated && blamed[prefix] {
+				continue
+			}
+			blamed[prefix] = blamed[prefix] || isIsolated
 			t.blame(now, prefix, a)
 		}
 	}
--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -27,7 +27,7 @@
 	// prefix is held.
 	minRequests = 3
 	// maxShare is the largest share of all requests that may have a prefix that is suspect. It is known after
-	// minArrived requests.
+	// minArrived requests, and no prefix is held before it is known.
 	maxShare   = 0.3
 	minArrived = 20
 	// minIsolated and maxIsolated bound the number of requests of a suspect prefix that must crash their
@@ -147,10 +147,16 @@
 
 // isCommon reports whether too many of the requests since the first crash have the prefix.
 func (t *Tracker) isCommon(e *evidence) bool {
-	all := t.arrived - e.arrivedBefore
-	return all >= minArrived && float64(e.arrived) > maxShare*float64(all)
+	return t.isShareKnown(e) && float64(e.arrived) > maxShare*float64(t.arrivedSince(e))
 }
 
+// isShareKnown reports whether enough requests have arrived since the first crash to tell how many of them have the
+// prefix.
+func (t *Tracker) isShareKnown(e *evidence) bool { return t.arrivedSince(e) >= minArrived }
+
+// arrivedSince returns the number of requests since the first crash of a prefix.
+func (t *Tracker) arrivedSince(e *evidence) int { return t.arrived - e.arrivedBefore }
+
 // IsHeld reports whether a request must be refused because of one of its prefixes.
 func (t *Tracker) IsHeld(now time.Time, prefixes []wire.PrefixHash) bool {
 	if len(t.prefixes) == 0 {
@@ -352,9 +358,10 @@
 	delete(t.prefixes, evicted)
 }
 
-// isProven reports whether the isolated crashes of a prefix are too many to have met them by chance.
+// isProven reports whether the isolated crashes of a prefix are too many to have met them by chance. It is not set
+// before the share of the prefix is known: a held prefix of all requests is not run again, so nothing would clear it.
 func (t *Tracker) isProven(now time.Time, e *evidence) bool {
-	if len(e.requests)+e.learnedRequests < minRequests {
+	if len(e.requests)+e.learnedRequests < minRequests || !t.isShareKnown(e) {
 		return false
 	}
 	byChance := max(t.crashed.value(now)-suspectCrashes, 0) / max(t.attempts.value(now), 1)
