discovery, host: a silent store does not hold up the end of a planned stop

A stop called HostList.Close when it began and again after the last request, when the hosts that stopped at the same time had left. A host that was then the last one of its zone waited for the store up to 0.5 s more, after 7.1 s of the 8 s after which it is killed. The second removal from the list runs beside the wait for the requests in flight now.

--- a/internal/control/discovery/hosts.go
+++ b/internal/control/discovery/hosts.go
@@ -67,8 +67,9 @@
 	checkedEra store.Era
 	writtenAt  time.Time
 
-	stop context.CancelFunc
-	done sync.WaitGroup
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+	closing sync.Once
 }
 
 // NewHostList creates a list and starts to maintain it.
@@ -85,15 +86,24 @@
 // leaveTimeout bounds the calls by which a host removes itself from the list.
 const leaveTimeout = 500 * time.Millisecond
 
-// Close stops the maintenance of the list and waits for it. The last host of a zone removes
-// itself from the list; other hosts are removed by those that still run.
+// Close stops the maintenance of the list, waits for it and calls Leave. Further calls do nothing: a store that does
+// not answer would hold up the end of the process once more.
 func (l *HostList) Close() error {
-	l.stop()
-	l.done.Wait()
+	l.closing.Do(func() {
+		l.stop()
+		l.done.Wait()
+		l.Leave()
+	})
+	return nil
+}
+
+// Leave removes this host from the list if it is the last one of its zone; other hosts are removed by those that still
+// run.
+func (l *HostList) Leave() {
 	members := l.board.Members()
 	for _, m := range zoneHosts(members) {
 		if m.Name != members.Self.Name {
-			return nil
+			return
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
@@ -102,7 +112,6 @@
 		// The stale entry is harmless: starting hosts check whether a listed host responds.
 		l.log.WithError(err).Info("Host not removed from the list of hosts.")
 	}
-	return nil
 }
 
 // removeSelf removes this host from the stored list.
--- a/internal/control/discovery/hosts_test.go
+++ b/internal/control/discovery/hosts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,6 +123,57 @@
 	}
 }
 
+// silentTree is a store that does not answer once it is silent.
+type silentTree struct {
+	*fakeTree
+	silent atomic.Bool
+}
+
+func (s *silentTree) List(ctx context.Context, prefix string) ([]store.Item, store.Position, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return s.fakeTree.List(ctx, prefix)
+}
+
+// TestSilentStoreHoldsUpAStopOnce closes the list of the last host of a zone twice, as a planned stop does: when it
+// begins and after all requests have ended. A host that waited for the store again at its end was killed by its
+// supervisor, 8 s after the begin.
+func TestSilentStoreHoldsUpAStopOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := &silentTree{fakeTree: newFakeTree()}
+		l := NewHostList(common.Discard(), board.New(board.Member{Name: "entry-5", Zone: "a", Capacity: 0.8}), tree)
+		time.Sleep(2 * updateInterval)
+		tree.silent.Store(true)
+		begin := time.Now()
+		require.NoError(t, l.Close())
+		require.Equal(t, leaveTimeout, time.Since(begin))
+		begin = time.Now()
+		require.NoError(t, l.Close())
+		require.Zero(t, time.Since(begin))
+	})
+}
+
+// TestLastOfTheStoppingHostsLeavesTheList stops two hosts of a zone, of which the other one leaves after the list of
+// this one is closed. Without another call, the hosts that start next would find this one on the list.
+func TestLastOfTheStoppingHostsLeavesTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := newFakeTree()
+		b := board.New(zoneMembers(1, 2, 1).Self)
+		b.SetMembers(zoneMembers(1, 2, 1))
+		l := NewHostList(common.Discard(), b, tree)
+		time.Sleep(updateInterval)
+		require.NoError(t, l.Close())
+		require.Equal(t, []string{"entry-0", "entry-1"}, listedNames(t, l), "the other host still runs")
+		alone := zoneMembers(1, 2, 1)
+		alone.Live = alone.Live[1:]
+		b.SetMembers(alone)
+		l.Leave()
+		require.Equal(t, []string{"entry-0"}, listedNames(t, l))
+	})
+}
+
 func TestListIsWrittenAfterAStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tree := newFakeTree()
--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -236,7 +236,11 @@
 		h.Members.Leave(leaveCtx)
 	})
 	var listErr error
-	leaving.Go(func() { listErr = h.HostList.Close() })
+	leaving.Go(func() {
+		listErr = h.HostList.Close()
+		clock.wait(ctx, settings.Gateway.StopServe)
+		h.HostList.Leave() // Hosts that stop at the same time may have left since.
+	})
 	clock.wait(ctx, settings.Gateway.StopServe)
 	answersCtx, cancelAnswers := clock.withTimeout(ctx, schedule.AnswersEnd)
 	defer cancelAnswers()
