--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -257,6 +257,9 @@
 // shutdownCallers waits for the requests in flight until ctx is done. Connections on which all requests have been
 // answered by then are closed without an error.
 func (h *gatewayHost) shutdownCallers(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() {
+		h.log.WithField("in-flight", h.Gateway.Active()).Info("Limit of the stop reached: the connections that are left are closed.")
+	})()
 	err := h.callerListener.shutdown(ctx)
 	if errors.Is(err, context.Canceled) && h.Gateway.Active() == 0 {
 		return nil
