--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -259,7 +259,11 @@
 		h.Members.Leave(leaveCtx)
 	})
 	var listErr error
-	leaving.Go(func() { listErr = h.HostList.Close() })
+	leaving.Go(func() {
+		listErr = h.HostList.Close()
+		clock.wait(ctx, settings.Gateway.StopServe)
+		h.HostList.Leave() // Hosts that stop at the same time may have left since.
+	})
 	clock.wait(ctx, settings.Gateway.StopServe)
 	answersCtx, cancelAnswers := clock.withTimeout(ctx, schedule.AnswersEnd)
 	defer cancelAnswers()
@@ -276,6 +280,9 @@
 // shutdownCallers waits for the requests in flight until ctx is done. Connections on which all requests have been
 // answered by then are closed without an error.
 func (h *gatewayHost) shutdownCallers(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() {
+		h.log.WithField("in-flight", h.Gateway.Active()).Info("Limit of the stop reached: the connections that are left are closed.")
+	})()
 	err := h.callerListener.shutdown(ctx)
 	if errors.Is(err, context.Canceled) && h.Gateway.Active() == 0 {
 		return nil
