shard: late requests count on the slots that late requests get

In an overload that lasts, late requests waited for half of their deadline and were then refused: the limit of the backlog counted all grants of the class, but requests in time go first. It counts the grants of late requests now. Replay at a quarter above the capacity: 114 of 157 refused requests had waited more than half of their limit, at most a tenth now; at three times the capacity as before.

--- a/internal/pool/shard/backlog.go
+++ b/internal/pool/shard/backlog.go
@@ -9,11 +9,11 @@
 	// eventRateTimeConstant is the time constant of the exponential average.
 	eventRateTimeConstant = time.Second
 	// maxBacklogTime limits the late requests of a class that may wait: at the current grant rate of
-	// the class, all of them must be granted within this time. More of them would wait and still be
-	// refused.
+	// late requests of the class, all of them must be granted within this time. More of them would wait
+	// and still be refused, because requests in time go first.
 	maxBacklogTime = 300 * time.Millisecond
 	// minBacklog is the number of late requests of a class that may always wait.
-	minBacklog = 8
+	minBacklog = 2
 )
 
 // eventRate is an exponentially weighted average of the number of events per second.
@@ -37,7 +37,7 @@
 
 // backlogTooLong reports whether more late requests of the class wait than can be served soon,
 // either by the free slots, including those of other arbiters, or at the current grant rate of
-// the class.
+// late requests of the class.
 func (s *Shard) backlogTooLong(now time.Time, q *request) bool {
 	waiting := 0
 	for _, t := range s.tiers {
@@ -45,7 +45,7 @@
 			waiting += t.waiting
 		}
 	}
-	grants := s.demandOf(now, rank{class: q.tier.classPriority}).grantRate.value(now)
+	grants := s.demandOf(now, rank{class: q.tier.classPriority, late: true}).grantRate.value(now)
 	free := s.totalSlots - float64(s.Running())
 	return float64(waiting) > max(grants*maxBacklogTime.Seconds(), free, minBacklog)
 }
--- a/internal/pool/shard/backlog_test.go
+++ b/internal/pool/shard/backlog_test.go
@@ -10,10 +10,24 @@
 	"redwinglock/internal/state/outcome"
 )
 
-// TestOverloadedPoolRefusesLateRequestsEarly sends three times the capacity of a pool for ten
-// seconds. Requests without a slot must be refused with a retry delay soon after they pass their
-// latency objective, instead of waiting until their wait limit, and the slots must stay in use.
+// TestOverloadedPoolRefusesLateRequestsEarly sends more than the capacity of a pool for ten seconds.
+// Requests without a slot must be refused with a retry delay soon after they pass their latency
+// objective, instead of waiting until their wait limit, and the slots must stay in use.
 func TestOverloadedPoolRefusesLateRequestsEarly(t *testing.T) {
+	rows := []struct {
+		name string
+		// perInterval is the number of requests in each 20 ms.
+		perInterval int
+	}{
+		{"three times the capacity", 5},
+		{"a quarter above the capacity", 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) { playOverload(t, row.perInterval) })
+	}
+}
+
+func playOverload(t *testing.T, perInterval int) {
 	const slotHoldTime, objective, maxWait = 500 * time.Millisecond, 210 * time.Millisecond, 1700 * time.Millisecond
 	b := newDiscoveredBench(t, 10, 4) // 80 requests per second.
 	ends := map[time.Duration][]wire.RequestID{}
@@ -41,7 +55,7 @@
 			record(b.finish(id))
 		}
 		if at%(20*time.Millisecond) == 0 {
-			for range 5 { // 250 requests per second.
+			for range perInterval {
 				_, decisions := b.send("third", func(r *wire.Register) {
 					r.DispatchWithinMS, r.MaxWaitMS, r.DeadlineMS = objective.Milliseconds(), maxWait.Milliseconds(), 15_000
 				})
--- a/internal/pool/shard/reserve.go
+++ b/internal/pool/shard/reserve.go
@@ -45,7 +45,7 @@
 	// mean time from arrival to lateAt. Both are 0 if unknown, and are stored for the whole class
 	// in the demand of the requests that are not late.
 	slotHoldTime, waitLimit time.Duration
-	// grantRate is the number of grants per second. It is stored like slotHoldTime.
+	// grantRate is the number of grants per second of the rank.
 	grantRate eventRate
 }
 
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -60,7 +60,7 @@
 		q.tier.reorderAccount(q.account)
 		othersUsed := s.recordQuotaUse(now, q)
 		s.countGrant(q)
-		s.demandOf(now, rank{class: q.tier.classPriority}).grantRate.record(now)
+		s.demandOf(now, q.tier.rank()).grantRate.record(now)
 		if s.rollout != nil && s.rollout.trial != nil {
 			s.rollout.trial.Grant(q.tier.class, s.rollout.sideOf(t))
 		}
