quarantine: a prefix that is held too early is released when it turns out to be common

A prefix of all requests that was held before 20 requests had arrived stayed held, so all streams were refused (soak). The hold comes as early as before now, and ends when the share is known to be too large.

--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -219,6 +219,8 @@
 	Crashes  int `json:"crashes,omitempty"`
 	Isolated int `json:"isolated,omitempty"`
 	Requests int `json:"requests,omitempty"`
+	// ShareUnknown is true if the prefix was held before its share of all requests was known.
+	ShareUnknown bool `json:"share-unknown,omitempty"`
 	// Checks is the number of requests that were granted since the prefix is held. NextCheckMS is the time
 	// until the next one, 0 if there is none.
 	Checks      int   `json:"checks,omitempty"`
--- a/internal/pool/quarantine/notice.go
+++ b/internal/pool/quarantine/notice.go
@@ -17,7 +17,7 @@
 func (e *evidence) notice(now time.Time, pool object.PoolName, prefix wire.PrefixHash) wire.PrefixNotice {
 	n := wire.PrefixNotice{
 		Pool: pool, Prefix: prefix, Version: e.version, State: e.state, Crashes: e.crashes, Isolated: e.isolated,
-		Requests: len(e.requests) + e.learnedRequests, Checks: e.checks,
+		Requests: len(e.requests) + e.learnedRequests, Checks: e.checks, ShareUnknown: e.shareUnknown,
 	}
 	if !e.nextCheckAt.IsZero() {
 		n.NextCheckMS = max(e.nextCheckAt.Sub(now).Milliseconds(), 1)
@@ -41,7 +41,7 @@
 	learned := evidence{
 		state: n.State, version: n.Version, crashes: n.Crashes, isolated: n.Isolated, learnedRequests: n.Requests,
 		lastCrashAt: now, updatedAt: now, running: e.running, nextAt: e.nextAt, checks: n.Checks,
-		suspectAt: now, arrived: e.arrived, arrivedBefore: e.arrivedBefore,
+		suspectAt: now, arrived: e.arrived, arrivedBefore: e.arrivedBefore, shareUnknown: n.ShareUnknown,
 	}
 	if n.NextCheckMS > 0 {
 		learned.nextCheckAt = now.Add(time.Duration(n.NextCheckMS) * time.Millisecond)
--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -27,7 +27,7 @@
 	// prefix is held.
 	minRequests = 3
 	// maxShare is the largest share of all requests that may have a prefix that is suspect. It is known after
-	// minArrived requests, and no prefix is held before it is known.
+	// minArrived requests.
 	maxShare   = 0.3
 	minArrived = 20
 	// minIsolated and maxIsolated bound the number of requests of a suspect prefix that must crash their
@@ -81,6 +81,8 @@
 	// nextAt is the earliest time of the next one.
 	running wire.RequestID
 	nextAt  time.Time
+	// shareUnknown is set if the prefix was held before its share of all requests was known.
+	shareUnknown bool
 	// checks is the number of checks since the prefix is held, nextCheckAt the time of the next one, zero if
 	// there are no more.
 	checks      int
@@ -163,7 +165,11 @@
 		return false
 	}
 	for _, prefix := range candidates(prefixes) {
-		if e := t.prefixes[prefix]; e != nil && e.state == wire.PrefixHeld && !e.checkDue(now) {
+		e := t.prefixes[prefix]
+		if e == nil || e.state != wire.PrefixHeld || t.releaseCommon(now, prefix, e) {
+			continue
+		}
+		if !e.checkDue(now) {
 			t.keepHeld(now, prefix, e)
 			return true
 		}
@@ -171,6 +177,20 @@
 	return false
 }
 
+// releaseCommon clears a prefix that was held before its share of all requests was known, if that share is too large. It
+// reports whether it did. Requests with a held prefix do not run, so nothing else would clear it.
+func (t *Tracker) releaseCommon(now time.Time, prefix wire.PrefixHash, e *evidence) bool {
+	if !e.shareUnknown || !t.isShareKnown(e) {
+		return false
+	}
+	e.shareUnknown = false
+	if !t.isCommon(e) {
+		return false
+	}
+	t.clear(now, prefix)
+	return true
+}
+
 func (e *evidence) checkDue(now time.Time) bool {
 	return !e.nextCheckAt.IsZero() && !now.Before(e.nextCheckAt)
 }
@@ -321,7 +341,7 @@
 	}
 	switch {
 	case isIsolated && t.isProven(now, e):
-		e.state = wire.PrefixHeld
+		e.state, e.shareUnknown = wire.PrefixHeld, !t.isShareKnown(e)
 		e.scheduleCheck(now)
 		t.announce(now, prefix, e)
 	case isIsolated:
@@ -358,10 +378,9 @@
 	delete(t.prefixes, evicted)
 }
 
-// isProven reports whether the isolated crashes of a prefix are too many to have met them by chance. It is not set
-// before the share of the prefix is known: a held prefix of all requests is not run again, so nothing would clear it.
+// isProven reports whether the isolated crashes of a prefix are too many to have met them by chance.
 func (t *Tracker) isProven(now time.Time, e *evidence) bool {
-	if len(e.requests)+e.learnedRequests < minRequests || !t.isShareKnown(e) {
+	if len(e.requests)+e.learnedRequests < minRequests {
 		return false
 	}
 	byChance := max(t.crashed.value(now)-suspectCrashes, 0) / max(t.attempts.value(now), 1)
