--- a/internal/pool/shard/connections_test.go
+++ b/internal/pool/shard/connections_test.go
@@ -244,11 +244,12 @@
 		{"much more loaded", func(b *bench, t *target) { t.inFlight = 2; b.shard.updateReady(t) }, "f", "engine-1"},
 		{"late there", func(b *bench, t *target) { t.prefillUntil = b.now.Add(time.Second) }, "f", "engine-1"},
 		{"draining, while the others are busy", func(b *bench, t *target) {
-			t.closed = true
-			for _, t := range b.shard.targets {
-				t.inFlight = 3
-				b.shard.updateReady(t)
+			for _, other := range b.shard.targets {
+				other.inFlight = 3
+				b.shard.updateReady(other)
 			}
+			t.closed, t.inFlight = true, 0
+			b.shard.updateReady(t)
 		}, "f", "engine-1"},
 		{"restarted or removed", func(b *bench, t *target) { b.shard.ready.remove(t); delete(b.shard.targets, t.name) }, "f", "engine-1"},
 		{"avoided", func(*bench, *target) {}, "avoiding", "engine-1"},
