--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -87,14 +87,6 @@
 	Moved bool `json:"moved,omitempty"`
 	// PrefixTokens holds the number of tokens of each prefix part in Prefixes. It is empty if unknown.
 	PrefixTokens []int `json:"prefix-tokens,omitempty"`
-	// PauseWithinMS is the longest pause between two events with which the answer still meets its
-	// objective, or 0 if the request must not be suspended.
-	PauseWithinMS int64 `json:"pause-ms,omitempty"`
-	// PauseLimitMS is the pause after which the caller gives up.
-	PauseLimitMS int64 `json:"pause-limit-ms,omitempty"`
-	// SuspendedAt is the target that holds the suspended request, which can continue only there. It is
-	// set in phase waiting only, and empty if the request is not suspended.
-	SuspendedAt object.TargetName `json:"suspended-at,omitempty"`
 }
 
 // Finish notifies the arbiter that a granted request has ended.
@@ -116,9 +108,6 @@
 	Broken bool `json:"broken,omitempty"`
 	// Expired is true if the answer was not complete at the deadline.
 	Expired bool `json:"expired,omitempty"`
-	// Suspended is true if the target has stopped the request and keeps its memory. The request is
-	// registered again, so nothing of it counts as a result.
-	Suspended bool `json:"suspended,omitempty"`
 	// ConnectionKept is true if the connection to the target is idle now and can be used again.
 	ConnectionKept bool `json:"connection-kept,omitempty"`
 	// Completed is true if the answer was complete and reported no error.
@@ -263,20 +252,6 @@
 	ID      RequestID `json:"id"`
 }
 
-// Suspend asks the front to suspend a running request in favor of a more urgent one.
-type Suspend struct {
-	Attempt int       `json:"attempt,omitempty"` // Of the registration.
-	ID      RequestID `json:"id"`
-	// To is another target of the pool, which takes over the request if it has room.
-	To object.TargetName `json:"to"`
-}
-
-// KeepRunning notifies the arbiter that a request was not suspended.
-type KeepRunning struct {
-	ID   RequestID       `json:"id"`
-	Pool object.PoolName `json:"pool"`
-}
-
 // Up is one message from a front to an arbiter; one field is set, or none for a
 // heartbeat.
 type Up struct {
@@ -289,8 +264,6 @@
 	// Prefix and Begun are read as heartbeats by builds that do not support them.
 	Prefix *PrefixNotice `json:"prefix,omitempty"`
 	Begun  *Begun        `json:"begun,omitempty"`
-	// KeepRunning is read as a heartbeat by builds that do not support it.
-	KeepRunning *KeepRunning `json:"keep-running,omitempty"`
 	// Left is true if new requests of the front go to another arbiter from now on.
 	Left bool `json:"left,omitempty"`
 }
@@ -305,6 +278,4 @@
 	Notice *TargetNotice `json:"notice,omitempty"`
 	// Prefix is read as a heartbeat by builds that do not support it.
 	Prefix *PrefixNotice `json:"prefix,omitempty"`
-	// Suspend is read as a heartbeat by builds that do not support it.
-	Suspend *Suspend `json:"suspend,omitempty"`
 }
--- a/internal/state/object/types.go
+++ b/internal/state/object/types.go
@@ -174,14 +174,6 @@
 	// MemoryTokens is the number of tokens that a target can hold in memory, for running requests and for
 	// kept prompts together. 0 means unknown.
 	MemoryTokens int `json:"memory-tokens,omitempty" yaml:"memory-tokens,omitempty"`
-	// Suspension says how running requests can be suspended. Nil means that they cannot.
-	Suspension *Suspension `json:"suspension,omitempty" yaml:"suspension,omitempty"`
-}
-
-// Suspension describes how the targets of a pool suspend running requests and keep their memory.
-type Suspension struct {
-	// HandleTTL is how long a target keeps the memory of a suspended request.
-	HandleTTL Duration `json:"handle-ttl" yaml:"handle-ttl"`
 }
 
 // Target is one instance of a model engine or a plain service.
--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -30,9 +30,6 @@
 	Rollout Rollout `yaml:"rollout"`
 	// MaxHeaderBytes limits the size of the head of a request. Default 64 KiB.
 	MaxHeaderBytes int `yaml:"max-header-bytes"`
-	// SuspendStreams lets arbiters suspend running streams of less urgent classes, in pools whose
-	// configuration allows it.
-	SuspendStreams bool `yaml:"suspend-streams"`
 	// ReuseConnections sends requests that may run only once on recently used connections.
 	ReuseConnections bool `yaml:"reuse-connections"`
 	// KeptPrompts sends the sizes of prompt prefixes to arbiters, which then weigh the prompt tokens
