Weigh held prompt tokens against the wait at a target

Placement compared the fraction of matched parts with a load bias, and the record of prefixes forgot neither evictions nor restarts. The arbiter now models what each target holds, in tokens, and compares the times at which the answer begins, if the front sends the sizes of the parts (gateway.kept-prompts). At most 64 parts are read from the header.

--- a/internal/entry/gateway/dialect.go
+++ b/internal/entry/gateway/dialect.go
@@ -39,6 +39,8 @@
 	// ExpectedOutput is an estimate of the length of the answer in tokens, 0 if not given.
 	ExpectedOutput int
 	Prefixes       []wire.PrefixHash
+	// PrefixTokens holds the number of tokens of each part in Prefixes. It is nil if one is unknown.
+	PrefixTokens []int
 	// LastEventID is set when the caller resumes a stream.
 	LastEventID string
 }
--- a/internal/entry/gateway/registration.go
+++ b/internal/entry/gateway/registration.go
@@ -33,6 +33,9 @@
 		Avoid:        r.tried,
 		Zone:         s.common.Settings.Zone,
 	}
+	if s.common.Settings.Gateway.KeptPrompts {
+		w.PrefixTokens = r.info.PrefixTokens
+	}
 	if r.info.ExpectedOutput > 0 {
 		w.OutputTokens = min(r.info.ExpectedOutput, r.info.OutputTokens)
 	}
--- a/internal/entry/gateway/registration_test.go
+++ b/internal/entry/gateway/registration_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/common"
 	"redwinglock/internal/state/object"
 	"redwinglock/internal/state/settings"
@@ -25,3 +26,20 @@
 		require.True(t, w.MayRetry, left)
 	}
 }
+
+// TestPrefixTokensAreRegisteredIfEnabled guards against token counts that reach arbiters although the
+// setting is off, or that do not reach them although it is on.
+func TestPrefixTokensAreRegisteredIfEnabled(t *testing.T) {
+	for _, enabled := range []bool{false, true} {
+		s := &Server{common: &common.Common{Settings: &settings.Settings{}}}
+		s.common.Settings.Gateway.KeptPrompts = enabled
+		info := RequestInfo{PromptTokens: 100, Prefixes: []wire.PrefixHash{1, 2}, PrefixTokens: []int{60, 30}}
+		w := s.registration(&request{route: &object.Route{}, arrived: time.Now(), info: info}, false)
+		require.Equal(t, info.Prefixes, w.Prefixes)
+		if enabled {
+			require.Equal(t, info.PrefixTokens, w.PrefixTokens)
+		} else {
+			require.Nil(t, w.PrefixTokens)
+		}
+	}
+}
--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -36,6 +36,7 @@
 		s.countRateLimited("held-back", c.HeldBack)
 		s.countRateLimited("diverted", c.Diverted)
 		s.countOnIdleConnection(c.OnIdleConnection)
+		s.countHeld(c)
 	}
 	return countFields(counts)
 }
@@ -57,6 +58,16 @@
 	s.common.Metrics.Counter("grants_on_idle_connections").Inc(int64(n))
 }
 
+// countHeld counts the prompt tokens that targets were expected to hold, and the grants of busier targets
+// for them.
+func (s *Server) countHeld(c *shard.Counts) {
+	if c.HeldTokens == 0 {
+		return
+	}
+	s.common.Metrics.Counter("held_prompt_tokens").Inc(int64(c.HeldTokens))
+	s.common.Metrics.Counter("grants_busier_for_held_prompt").Inc(int64(c.BusierForHeld))
+}
+
 // refusalCounts holds the number of refusals by class and reason.
 type refusalCounts map[object.TierName]map[outcome.Reason]int
 
@@ -64,6 +75,7 @@
 func countFields(counts map[object.TierName]*shard.Counts) logrus.Fields {
 	granted, grantedLate, refusedAgain := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
 	onIdleConnection := map[object.TierName]int{}
+	heldTokens, busierForHeld := map[object.TierName]int{}, map[object.TierName]int{}
 	heldBack, diverted := map[object.TierName]int{}, map[object.TierName]int{}
 	refused := refusalCounts{}
 	for class, c := range counts {
@@ -72,12 +84,14 @@
 		refused[class] = c.Refused
 		refusedAgain[class] = c.RefusedAgain
 		onIdleConnection[class] = c.OnIdleConnection
+		heldTokens[class], busierForHeld[class] = c.HeldTokens, c.BusierForHeld
 		heldBack[class], diverted[class] = c.HeldBack, c.Diverted
 	}
 	return logrus.Fields{
 		"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain,
 		"waited-for-rate": heldBack, "diverted-by-rate": diverted,
 		"on-idle-connection": onIdleConnection,
+		"held-prompt-tokens": heldTokens, "busier-for-held": busierForHeld,
 	}
 }
 
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -20,6 +20,10 @@
 // PrefixHash is the hash of a prefix of a prompt.
 type PrefixHash uint64
 
+// MaxPrefixParts bounds the parts of a prompt that are read from the header of a request. Ordinary
+// requests have fewer than ten, but a header of 60 KiB has room for 30,000.
+const MaxPrefixParts = 64
+
 // String returns the hash in hexadecimal.
 func (h PrefixHash) String() string { return strconv.FormatUint(uint64(h), 16) }
 
--- a/internal/pool/shard/counts.go
+++ b/internal/pool/shard/counts.go
@@ -19,6 +19,9 @@
 	HeldBack, Diverted int
 	// OnIdleConnection counts grants of a target to which the front has an idle connection.
 	OnIdleConnection int
+	// HeldTokens is the number of prompt tokens that the granted targets were expected to hold.
+	// BusierForHeld counts grants of a target that was busier than another one, for what it held.
+	HeldTokens, BusierForHeld int
 }
 
 // countsOf returns the counts of a class.
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -31,6 +31,7 @@
 	if existing.target == nil || r.Phase == wire.Running {
 		return
 	}
+	existing.target.forgetNewParts(existing)
 	s.stopRunning(existing)
 	s.quarantine.Withdrawn(existing.ID, existing.Prefixes)
 	s.enqueue(existing)
@@ -117,6 +118,7 @@
 	s.removeRequest(q)
 	s.recordAttempt(now, q, t, f)
 	s.recordConnection(now, q, t, f)
+	t.recordRead(q, f)
 	switch {
 	case f.Unreachable:
 		s.startBackoff(now, t)
@@ -143,6 +145,7 @@
 	s.recordSlotHoldTime(now, q)
 	if f.Completed {
 		t.recordCompletion(now, f)
+		f.PromptTokens = max(f.PromptTokens-q.heldTokens, 0)
 		s.speeds.record(t, f)
 		s.responseTime.add(time.Duration(f.FirstTokenMS) * time.Millisecond)
 		s.detectStragglers(now)
@@ -156,6 +159,7 @@
 		return nil
 	}
 	if q.target != nil {
+		q.target.forgetNewParts(q)
 		s.stopRunning(q)
 		s.quarantine.Withdrawn(q.ID, q.Prefixes)
 	} else {
--- /dev/null
+++ b/internal/pool/shard/held.go
@@ -0,0 +1,200 @@
+package shard
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/trial"
+	"redwinglock/internal/state/object"
+)
+
+const (
+	// maxHeldParts bounds the parts of prompts that are remembered for all targets of a pool together.
+	maxHeldParts = 32768
+	// minHeldPartsOfTarget is the number of parts that are remembered for each target in large pools.
+	minHeldPartsOfTarget = 16
+	// minHeldGain is the least time by which held tokens must make an answer begin earlier to change the
+	// target of a request. A smaller gain is not worth a new connection.
+	minHeldGain = newConnectionCost
+)
+
+// heldPart is a part of a prompt in the memory of a target.
+type heldPart struct {
+	hash   wire.PrefixHash
+	tokens int64
+}
+
+// heldParts models which parts of prompts a target holds. It evicts the least recently used ones.
+type heldParts struct {
+	elements map[wire.PrefixHash]*list.Element
+	recent   *list.List // Values are heldPart, most recent first.
+	tokens   int64
+	// memoryTokens is the memory of the target, 0 if unknown. maxParts bounds the number of parts.
+	memoryTokens int64
+	maxParts     int
+}
+
+// clear forgets all parts.
+func (h *heldParts) clear() { h.elements, h.recent, h.tokens = nil, nil, 0 }
+
+// leading returns the sizes of the given parts up to the first that is not held.
+func (h *heldParts) leading(hashes []wire.PrefixHash) int64 {
+	sum := int64(0)
+	for _, hash := range hashes {
+		element := h.elements[hash]
+		if element == nil {
+			return sum
+		}
+		sum += element.Value.(heldPart).tokens
+	}
+	return sum
+}
+
+// add records the parts of a prompt as just used and returns those that are new. The first part becomes
+// the most recent one, because later parts are useless without it.
+func (h *heldParts) add(hashes []wire.PrefixHash, tokens []int) []wire.PrefixHash {
+	if h.elements == nil {
+		h.elements, h.recent = map[wire.PrefixHash]*list.Element{}, list.New()
+	}
+	var added []wire.PrefixHash
+	for i := len(hashes) - 1; i >= 0; i-- {
+		if element := h.elements[hashes[i]]; element != nil {
+			h.recent.MoveToFront(element)
+			continue
+		}
+		part := heldPart{hashes[i], int64(tokens[i])}
+		h.elements[part.hash] = h.recent.PushFront(part)
+		h.tokens += part.tokens
+		added = append(added, part.hash)
+	}
+	return added
+}
+
+// remove forgets a part.
+func (h *heldParts) remove(hash wire.PrefixHash) {
+	element := h.elements[hash]
+	if element == nil {
+		return
+	}
+	h.tokens -= h.recent.Remove(element).(heldPart).tokens
+	delete(h.elements, hash)
+}
+
+// trim evicts parts until the others fit into the memory that running requests leave.
+func (h *heldParts) trim(runningTokens int64) {
+	for len(h.elements) > 0 && (h.tokens > h.memoryTokens-runningTokens || len(h.elements) > h.maxParts) {
+		h.remove(h.recent.Back().Value.(heldPart).hash)
+	}
+}
+
+// configureHeld sets the bounds of what the target is believed to hold.
+func (t *target) configureHeld(view *object.PoolView) {
+	t.held.memoryTokens = int64(view.MemoryTokens)
+	t.held.maxParts = max(maxHeldParts/max(len(view.Targets), 1), minHeldPartsOfTarget)
+	t.held.trim(t.tokens)
+}
+
+// hasPrefixTokens reports whether the sizes of the parts of a prompt are known and plausible. Parts that
+// exceed the prompt would evict from the model what the target really holds.
+func hasPrefixTokens(r *wire.Register) bool {
+	if len(r.PrefixTokens) != len(r.Prefixes) || len(r.Prefixes) > wire.MaxPrefixParts {
+		return false
+	}
+	left := r.PromptTokens
+	for _, n := range r.PrefixTokens {
+		if n < 0 || n > left {
+			return false
+		}
+		left -= n
+	}
+	return len(r.PrefixTokens) > 0
+}
+
+// tracksHeld reports whether what the target holds of the prompt can be known.
+func (t *target) tracksHeld(q *request) bool {
+	return t.engine && t.held.memoryTokens > 0 && len(q.PrefixTokens) > 0
+}
+
+// heldTokens returns how many tokens of the prompt the target need not read again. Nothing counts as
+// held if the request and the running ones need the whole memory.
+func (t *target) heldTokens(q *request) int {
+	if !t.tracksHeld(q) || t.tokens+q.estimatedTokens > t.held.memoryTokens {
+		return 0
+	}
+	return int(min(t.held.leading(q.Prefixes), int64(q.PromptTokens)))
+}
+
+// holdPrompt records that the target is about to read the prompt of a request.
+func (t *target) holdPrompt(q *request) {
+	if t.tracksHeld(q) {
+		q.newParts = t.held.add(q.Prefixes, q.PrefixTokens)
+	}
+}
+
+// recordRead corrects what the target holds after a request has ended. A target that cannot be reached
+// may have restarted, so all of its parts are forgotten. A request without an answer may not have been
+// read.
+func (t *target) recordRead(q *request, f wire.Finish) {
+	switch {
+	case f.Unreachable:
+		t.held.clear()
+	case !f.Begun && !f.Completed && !f.Suspended:
+		t.forgetNewParts(q)
+	}
+}
+
+// forgetNewParts forgets the parts of a prompt that were recorded at its grant.
+func (t *target) forgetNewParts(q *request) {
+	for _, hash := range q.newParts {
+		t.held.remove(hash)
+	}
+	q.newParts = nil
+}
+
+// countHeld counts the prompt tokens that the granted target is expected to hold.
+func (s *Shard) countHeld(q *request, t *target) {
+	q.heldTokens = t.heldTokens(q)
+	c := s.countsOf(q.tier.class)
+	c.HeldTokens += q.heldTokens
+	if q.busierForHeld {
+		c.BusierForHeld++
+	}
+}
+
+// preferHeld returns the target at which held prompt tokens make the answer begin earliest, compared with
+// the given target, or the given one if none gains at least minHeldGain.
+func (s *Shard) preferHeld(now time.Time, q *request, side trial.Side, otherwise *target) *target {
+	q.busierForHeld = false
+	if !s.startsInTime(now, q, otherwise) || otherwise.tooSlow(now, q) {
+		return otherwise
+	}
+	best, bestGain := otherwise, minHeldGain
+	for _, t := range s.ready.all() {
+		if t == otherwise || t.heldTokens(q) == 0 || !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
+			continue
+		}
+		gain := s.heldGain(now, q, t, otherwise)
+		if gain < bestGain || gain == bestGain && best != otherwise && !lessLoaded(t, best) {
+			continue
+		}
+		if t.tooSlow(now, q) || !s.startsInTime(now, q, t) || s.answerStart(now, q, t).After(s.answerStart(now, q, otherwise)) {
+			continue
+		}
+		best, bestGain = t, gain
+	}
+	q.busierForHeld = best.load() > otherwise.load()
+	return best
+}
+
+// heldGain returns the time saved by what a target holds, less the time waited there, compared with
+// another target. The speed of the targets alone is no gain: otherwise the fastest of all holders of a
+// frequent prefix would get all requests with it.
+func (s *Shard) heldGain(now time.Time, q *request, t, other *target) time.Duration {
+	saved := s.speeds.readTime(t, t.heldTokens(q)) - s.speeds.readTime(other, other.heldTokens(q))
+	return saved - (t.readingWait(now) - other.readingWait(now))
+}
+
+// readingWait returns how long the target still reads the prompts of earlier requests.
+func (t *target) readingWait(now time.Time) time.Duration { return max(t.prefillUntil.Sub(now), 0) }
--- /dev/null
+++ b/internal/pool/shard/heldreplay_test.go
@@ -0,0 +1,304 @@
+package shard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
+)
+
+// Engines of deployment B, fewer of them. A request has the prompt of its urgent class.
+const (
+	heldEngines, heldSlots = 40, 4
+	heldPromptTokens       = 3000
+	heldOutputTokens       = 54
+	heldPromptTokenTime    = 26 * time.Microsecond
+	heldDecodeTime         = 4430 * time.Microsecond
+	heldMemoryTokens       = 217_594
+	heldObjective          = 800 * time.Millisecond
+)
+
+// cachingEngine simulates an engine that holds prompts. Its order of eviction is its own, not that of the
+// model under test.
+type cachingEngine struct {
+	engine
+	memory, running int
+	parts           []heldPart // Least recently used first.
+}
+
+// read returns how many tokens of a prompt the engine has to process, and holds the prompt from then on.
+func (e *cachingEngine) read(p prompt) int {
+	left, leading := heldPromptTokens, true
+	for i, hash := range p.parts {
+		at := slices.IndexFunc(e.parts, func(h heldPart) bool { return h.hash == hash })
+		leading = leading && at >= 0
+		if leading {
+			left -= p.tokens[i]
+		}
+		if at >= 0 {
+			e.parts = slices.Delete(e.parts, at, at+1)
+		}
+	}
+	for i := len(p.parts) - 1; i >= 0; i-- {
+		e.parts = append(e.parts, heldPart{p.parts[i], int64(p.tokens[i])})
+	}
+	e.running += heldPromptTokens + heldOutputTokens
+	e.evict()
+	return left
+}
+
+func (e *cachingEngine) evict() {
+	held := 0
+	for i := len(e.parts) - 1; i >= 0; i-- {
+		held += int(e.parts[i].tokens)
+		if held > e.memory-e.running {
+			e.parts = slices.Delete(e.parts, 0, i+1)
+			return
+		}
+	}
+}
+
+// prompt lists the parts of a prompt.
+type prompt struct {
+	parts  []wire.PrefixHash
+	tokens []int
+	hot    bool
+}
+
+// heldLoad is a pattern of prompts.
+type heldLoad struct {
+	name    string
+	memory  int
+	restart time.Duration // Time between restarts of engines, 0 for none.
+	next    func(*rand.Rand) prompt
+}
+
+// newPart returns the hash of a part that no other prompt has.
+func newPart(r *rand.Rand) wire.PrefixHash { return wire.PrefixHash(r.Uint64() | 1<<63) }
+
+// sessionPrompt returns a prompt of one of the sessions, each of which returns every few seconds.
+func sessionPrompt(r *rand.Rand) prompt {
+	id := wire.PrefixHash(1+r.IntN(1000)) * 10
+	return prompt{parts: []wire.PrefixHash{id, id + 1, id + 2}, tokens: []int{1000, 1000, 1000}}
+}
+
+func shortSharedPrompt(r *rand.Rand) prompt {
+	return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{60, 2940}}
+}
+
+func hotPrompt(r *rand.Rand) prompt {
+	if r.IntN(2) == 0 {
+		return prompt{parts: []wire.PrefixHash{newPart(r)}, tokens: []int{3000}}
+	}
+	return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{2000, 1000}, hot: true}
+}
+
+// heldReplay replays a load on engines that hold prompts.
+type heldReplay struct {
+	*bench
+	load    heldLoad
+	sizes   bool // The front sends the sizes of the parts.
+	random  *rand.Rand
+	began   time.Time
+	engines map[object.TargetName]*cachingEngine
+	started map[object.TargetName]int64
+	prompts map[wire.RequestID]prompt
+	sentAt  map[wire.RequestID]time.Time
+	ends    map[time.Time][]wire.Finish
+	ranAt   map[wire.RequestID]*cachingEngine
+
+	firstTokens []time.Duration
+	late, sent  int
+	hotAt       map[object.TargetName]int
+}
+
+func newHeldReplay(t *testing.T, load heldLoad, seed uint64, sizes bool) *heldReplay {
+	r := &heldReplay{
+		bench: newDiscoveredBench(t, heldEngines, heldSlots), load: load, sizes: sizes, random: rand.New(rand.NewPCG(seed, 5)),
+		engines: map[object.TargetName]*cachingEngine{}, started: map[object.TargetName]int64{},
+		prompts: map[wire.RequestID]prompt{}, sentAt: map[wire.RequestID]time.Time{}, ends: map[time.Time][]wire.Finish{},
+		ranAt: map[wire.RequestID]*cachingEngine{}, hotAt: map[object.TargetName]int{},
+	}
+	r.began = r.now
+	for i := range heldEngines {
+		slowness := 1 / (0.6 + 1.1*r.random.Float64())
+		r.engines[targetName(i)] = &cachingEngine{memory: load.memory, engine: engine{
+			promptTokenTime: time.Duration(float64(heldPromptTokenTime) * slowness),
+			outputTokenTime: time.Duration(float64(heldDecodeTime) * slowness),
+		}}
+		r.started[targetName(i)] = 1
+	}
+	r.configure()
+	return r
+}
+
+// configure applies the start times of the engines.
+func (r *heldReplay) configure() {
+	heldBench{r.bench}.configure(heldEngines, r.load.memory, r.started)
+}
+
+// heldBench configures a bench with the memory of its targets.
+type heldBench struct{ *bench }
+
+func (b heldBench) configure(count, memory int, started map[object.TargetName]int64) []Decision {
+	snapshot, err := object.Compile(1, "", []object.Object{
+		&object.Tier{Name: "first", Priority: 1},
+		&object.Account{Name: "big", Tiers: []object.TierName{"first"}, KeyHashes: []string{object.HashKey("1")}},
+		&object.Pool{Name: testPool, Type: object.EnginePool, FixedSlots: true, NonPreemptible: true, Discovered: true, MemoryTokens: memory},
+	})
+	require.NoError(b.t, err)
+	var found []*object.Target
+	for i := range count {
+		name := targetName(i)
+		found = append(found, &object.Target{Name: name, Pool: testPool, Zone: "a", Address: "http://t", Slots: heldSlots, StartedMS: started[name]})
+	}
+	return b.shard.Configure(b.now, snapshot.WithTargets(1, found), nil)
+}
+
+func (r *heldReplay) isMeasured() bool { return r.now.Sub(r.began) >= 3*time.Second }
+
+func (r *heldReplay) sendNext() {
+	p := r.load.next(r.random)
+	id, decisions := r.send("first", func(w *wire.Register) {
+		w.PromptTokens, w.OutputTokens, w.Prefixes = heldPromptTokens, heldOutputTokens, p.parts
+		if r.sizes {
+			w.PrefixTokens = p.tokens
+		}
+		w.AnswerWithinMS = heldObjective.Milliseconds()
+		w.DispatchWithinMS = w.AnswerWithinMS * 7 / 10
+		w.MaxWaitMS = 2400
+	})
+	r.prompts[id], r.sentAt[id] = p, r.now
+	if r.isMeasured() {
+		r.sent++
+	}
+	r.run(decisions)
+}
+
+// run simulates the answers to the granted requests.
+func (r *heldReplay) run(decisions []Decision) {
+	for _, d := range decisions {
+		grant, ok := d.(Grant)
+		if !ok {
+			continue
+		}
+		e, p := r.engines[grant.Target], r.prompts[grant.ID]
+		at := r.now.Sub(r.began)
+		e.prefillUntil = max(e.prefillUntil, at) + time.Duration(e.read(p))*e.promptTokenTime
+		startedAt := r.began.Add(e.prefillUntil)
+		end := startedAt.Add(heldOutputTokens * e.outputTokenTime).Truncate(replayTick).Add(replayTick)
+		r.ranAt[grant.ID] = e
+		r.ends[end] = append(r.ends[end], wire.Finish{
+			ID: grant.ID, Pool: testPool, Dispatched: true, Begun: true, Completed: true, PromptTokens: heldPromptTokens, OutputTokens: heldOutputTokens,
+			FirstTokenMS: startedAt.Sub(r.now).Milliseconds(), DecodeUS: e.outputTokenTime.Microseconds(),
+		})
+		r.recordFirstToken(grant, startedAt.Sub(r.sentAt[grant.ID]))
+	}
+}
+
+func (r *heldReplay) recordFirstToken(g Grant, after time.Duration) {
+	if !r.isMeasured() {
+		return
+	}
+	r.firstTokens = append(r.firstTokens, after)
+	if after > heldObjective {
+		r.late++
+	}
+	if r.prompts[g.ID].hot {
+		r.hotAt[g.Target]++
+	}
+}
+
+// restartNext restarts one engine, which ends no request in this replay but loses all prompts.
+func (r *heldReplay) restartNext() {
+	name := targetName(r.random.IntN(heldEngines))
+	r.engines[name].parts = nil
+	r.started[name]++
+	r.configure()
+}
+
+func (r *heldReplay) replay(perSecond float64, length time.Duration) {
+	for until := r.now.Add(length); r.now.Before(until); {
+		for _, f := range r.ends[r.now] {
+			r.ranAt[f.ID].running -= heldPromptTokens + heldOutputTokens
+			r.run(r.shard.Finish(r.now, f))
+		}
+		delete(r.ends, r.now)
+		if r.load.restart > 0 && r.now.Sub(r.began)%r.load.restart == 0 {
+			r.restartNext()
+		}
+		expected := perSecond * replayTick.Seconds()
+		for next := r.random.ExpFloat64(); next < expected; next += r.random.ExpFloat64() {
+			r.sendNext()
+		}
+		r.run(r.advance(replayTick))
+	}
+}
+
+// heldFigures are the results of a replay.
+type heldFigures struct {
+	mean, worst20 time.Duration // Mean, and the time that one in twenty exceeds.
+	onTime        float64
+	hotShare      float64 // The largest fraction of the hot requests that one target got.
+}
+
+func (f heldFigures) String() string {
+	return fmt.Sprintf("first token %v, 95%% %v, on time %.4f, hot share %.3f", f.mean, f.worst20, f.onTime, f.hotShare)
+}
+
+func replayHeld(t *testing.T, load heldLoad, perSecond float64, sizes bool) heldFigures {
+	var all []time.Duration
+	late, sent := 0, 0
+	f := heldFigures{}
+	for seed := range uint64(3) {
+		r := newHeldReplay(t, load, seed, sizes)
+		r.replay(perSecond, 10*time.Second)
+		all = append(all, r.firstTokens...)
+		late += r.late
+		sent += r.sent
+		hot, most := 0, 0
+		for _, n := range r.hotAt {
+			hot, most = hot+n, max(most, n)
+		}
+		f.hotShare = max(f.hotShare, float64(most)/float64(max(hot, 1)))
+	}
+	slices.Sort(all)
+	sum := time.Duration(0)
+	for _, d := range all {
+		sum += d
+	}
+	f.mean = (sum / time.Duration(len(all))).Round(10 * time.Microsecond)
+	f.worst20 = all[len(all)*95/100].Round(10 * time.Microsecond)
+	f.onTime = float64(len(all)-late) / float64(sent)
+	return f
+}
+
+// TestHeldPromptsStartSooner guards against placements by held prompts that make answers begin later than
+// the fraction of matched parts does.
+func TestHeldPromptsStartSooner(t *testing.T) {
+	loads := []heldLoad{
+		{"sessions", heldMemoryTokens, 0, sessionPrompt},
+		{"60 of 3,000 tokens are shared", heldMemoryTokens, 0, shortSharedPrompt},
+		{"half of all requests share 2,000 tokens", heldMemoryTokens, 0, hotPrompt},
+		{"sessions while targets restart", heldMemoryTokens, 250 * time.Millisecond, sessionPrompt},
+		{"sessions and too little memory", 40_000, 0, sessionPrompt},
+	}
+	for _, load := range loads {
+		for _, perSecond := range []float64{200, 350} {
+			t.Run(fmt.Sprint(load.name, ", ", perSecond, " a second"), func(t *testing.T) {
+				before, after := replayHeld(t, load, perSecond, false), replayHeld(t, load, perSecond, true)
+				t.Logf("present rule: %v", before)
+				t.Logf("held tokens:  %v", after)
+				require.LessOrEqual(t, after.mean, before.mean)
+				require.GreaterOrEqual(t, after.onTime, before.onTime-0.001)
+				require.LessOrEqual(t, after.hotShare, 0.1)
+			})
+		}
+	}
+}
--- a/internal/pool/shard/placement.go
+++ b/internal/pool/shard/placement.go
@@ -28,6 +28,9 @@
 	if least == nil {
 		return nil
 	}
+	if least.tracksHeld(q) {
+		return s.preferHeld(now, q, side, s.preferConnection(now, q, side, least))
+	}
 	for i := len(q.Prefixes) - 1; i >= 0; i-- {
 		matchedFraction := float64(i+1) / float64(len(q.Prefixes))
 		var best *target
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -39,6 +39,12 @@
 	hasPreempted bool
 	// heldBack is set once the request has waited for the rate limit of a target.
 	heldBack bool
+	// heldTokens is how many prompt tokens the target was expected to hold at the grant. newParts are the
+	// parts of the prompt that it did not hold.
+	heldTokens int
+	newParts   []wire.PrefixHash
+	// busierForHeld is set if the chosen target is busier than another one, for what it holds.
+	busierForHeld bool
 	// isolated is set while the request waits outside of the queues because of a suspect prefix.
 	isolated bool
 
@@ -64,6 +70,9 @@
 		queuedAt:        now.Add(-waited),
 	}
 	q.estimatedTokens = max(q.estimatedTokens, 1)
+	if !hasPrefixTokens(&r) {
+		q.PrefixTokens = nil
+	}
 	q.callerArrivedAt = q.queuedAt
 	if r.CallerWaitMS > 0 {
 		q.callerGivesUpAt = now.Add(time.Duration(r.CallerWaitMS) * time.Millisecond)
@@ -116,10 +125,11 @@
 	q.target = t
 	q.grantedAt = now
 	q.tier.addRunning(q)
-	t.addRequest(q.estimatedTokens)
 	if t.engine && q.Phase == wire.Waiting {
 		t.prefillUntil = s.answerStart(now, q, t)
 	}
+	t.holdPrompt(q)
+	t.addRequest(q.estimatedTokens)
 	s.updateReady(t)
 }
 
--- a/internal/pool/shard/speed.go
+++ b/internal/pool/shard/speed.go
@@ -55,13 +55,19 @@
 	return t.decodeUS / p.decodeUS
 }
 
-// prefillTime estimates the time that the target needs to process the prompt.
+// prefillTime estimates the time that the target needs to process the part of the prompt that it does not
+// hold.
 func (p *speeds) prefillTime(t *target, q *request) time.Duration {
+	return p.readTime(t, q.PromptTokens-t.heldTokens(q))
+}
+
+// readTime estimates the time that the target needs to process prompt tokens.
+func (p *speeds) readTime(t *target, tokens int) time.Duration {
 	perToken := p.promptTokenUS
 	if perToken == 0 {
 		perToken = defaultPromptTokenUS
 	}
-	return time.Duration(float64(q.PromptTokens) * perToken * p.slowness(t) * float64(time.Microsecond))
+	return time.Duration(float64(tokens) * perToken * p.slowness(t) * float64(time.Microsecond))
 }
 
 // answerStart estimates when the answer would begin at the target, which processes prompts one
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -67,6 +67,7 @@
 		s.useConnection(now, q, t)
 		s.takeRate(now, t)
 		watch := s.quarantine.Granted(now, q.ID, q.Prefixes)
+		s.countHeld(q, t)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
 		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt), t.rateLimit > 0, othersUsed, watch})
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -89,6 +89,8 @@
 	decodeUS float64 // Moving average of the time between tokens.
 	// prefillUntil is the estimated time when the target has processed the prompts of its requests.
 	prefillUntil time.Time
+	// held is what the target holds of earlier prompts.
+	held         heldParts
 	speedSamples int
 	speed        float64 // Relative to the median of the generation, at most 1.
 
@@ -121,7 +123,9 @@
 	if t.startedMS != spec.StartedMS {
 		t.startedMS = spec.StartedMS
 		t.speedSamples, t.speed, t.errorRate, t.excessErrorRate = 0, 1, 0, 0
+		t.held.clear()
 	}
+	t.configureHeld(view)
 }
 
 // slots returns how many requests the target may have in flight.
@@ -154,6 +158,7 @@
 func (t *target) addRequest(tokens int64) {
 	t.inFlight++
 	t.tokens += tokens
+	t.held.trim(t.tokens)
 }
 
 func (t *target) removeRequest(tokens int64) {
