--- a/internal/pool/shard/held.go
+++ b/internal/pool/shard/held.go
@@ -24,12 +24,14 @@
 type heldPart struct {
 	hash   wire.PrefixHash
 	tokens int64
+	// users is the number of running requests whose prompts have the part.
+	users int
 }
 
 // heldParts models which parts of prompts a target holds. It evicts the least recently used ones.
 type heldParts struct {
 	elements map[wire.PrefixHash]*list.Element
-	recent   *list.List // Values are heldPart, most recent first.
+	recent   *list.List // Values are *heldPart, most recent first.
 	tokens   int64
 	// memoryTokens is the memory of the target, 0 if unknown. maxParts bounds the number of parts.
 	memoryTokens int64
@@ -39,17 +41,19 @@
 // clear forgets all parts.
 func (h *heldParts) clear() { h.elements, h.recent, h.tokens = nil, nil, 0 }
 
-// leading returns the sizes of the given parts up to the first that is not held.
-func (h *heldParts) leading(hashes []wire.PrefixHash) int64 {
-	sum := int64(0)
+// leading returns the sizes of the given parts up to the first that is not held, and the users of the last
+// of them.
+func (h *heldParts) leading(hashes []wire.PrefixHash) (tokens int64, users int) {
 	for _, hash := range hashes {
 		element := h.elements[hash]
 		if element == nil {
-			return sum
+			break
 		}
-		sum += element.Value.(heldPart).tokens
+		part := element.Value.(*heldPart)
+		tokens += part.tokens
+		users = part.users
 	}
-	return sum
+	return tokens, users
 }
 
 // add records the parts of a prompt as just used and returns those that are new. The first part becomes
@@ -61,10 +65,11 @@
 	var added []wire.PrefixHash
 	for i := len(hashes) - 1; i >= 0; i-- {
 		if element := h.elements[hashes[i]]; element != nil {
+			element.Value.(*heldPart).users++
 			h.recent.MoveToFront(element)
 			continue
 		}
-		part := heldPart{hashes[i], int64(tokens[i])}
+		part := &heldPart{hash: hashes[i], tokens: int64(tokens[i]), users: 1}
 		h.elements[part.hash] = h.recent.PushFront(part)
 		h.tokens += part.tokens
 		added = append(added, part.hash)
@@ -72,20 +77,30 @@
 	return added
 }
 
+// release records that a running request has ended. Parts that were forgotten meanwhile have no users.
+func (h *heldParts) release(hashes []wire.PrefixHash) {
+	for _, hash := range hashes {
+		if element := h.elements[hash]; element != nil {
+			part := element.Value.(*heldPart)
+			part.users = max(part.users-1, 0)
+		}
+	}
+}
+
 // remove forgets a part.
 func (h *heldParts) remove(hash wire.PrefixHash) {
 	element := h.elements[hash]
 	if element == nil {
 		return
 	}
-	h.tokens -= h.recent.Remove(element).(heldPart).tokens
+	h.tokens -= h.recent.Remove(element).(*heldPart).tokens
 	delete(h.elements, hash)
 }
 
 // trim evicts parts until the others fit into the memory that running requests leave.
 func (h *heldParts) trim(runningTokens int64) {
 	for len(h.elements) > 0 && (h.tokens > h.memoryTokens-runningTokens || len(h.elements) > h.maxParts) {
-		h.remove(h.recent.Back().Value.(heldPart).hash)
+		h.remove(h.recent.Back().Value.(*heldPart).hash)
 	}
 }
 
@@ -123,7 +138,8 @@
 	if !t.tracksHeld(q) || t.tokens+q.estimatedTokens > t.held.memoryTokens {
 		return 0
 	}
-	return int(min(t.held.leading(q.Prefixes), int64(q.PromptTokens)))
+	tokens, _ := t.held.leading(q.Prefixes)
+	return int(min(tokens, int64(q.PromptTokens)))
 }
 
 // holdPrompt records that the target is about to read the prompt of a request.
@@ -163,6 +179,14 @@
 	}
 }
 
+// isShared reports whether half of the target's slots run requests with the same held parts. A prefix
+// that is so frequent is worth reading at other targets, too: otherwise requests with it fill one target
+// after another.
+func (t *target) isShared(q *request) bool {
+	_, users := t.held.leading(q.Prefixes)
+	return 2*users >= max(t.slots(), 2)
+}
+
 // preferHeld returns the target at which held prompt tokens make the answer begin earliest, compared with
 // the given target, or the given one if none gains at least minHeldGain.
 func (s *Shard) preferHeld(now time.Time, q *request, side trial.Side, otherwise *target) *target {
@@ -170,9 +194,10 @@
 	if !s.startsInTime(now, q, otherwise) || otherwise.tooSlow(now, q) {
 		return otherwise
 	}
+	heldAnyway := otherwise.heldTokens(q)
 	best, bestGain := otherwise, minHeldGain
 	for _, t := range s.ready.all() {
-		if t == otherwise || t.heldTokens(q) == 0 || !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
+		if t.heldTokens(q) <= heldAnyway || t.isShared(q) || !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
 			continue
 		}
 		gain := s.heldGain(now, q, t, otherwise)
--- a/internal/pool/shard/heldreplay_test.go
+++ b/internal/pool/shard/heldreplay_test.go
@@ -46,7 +46,7 @@
 		}
 	}
 	for i := len(p.parts) - 1; i >= 0; i-- {
-		e.parts = append(e.parts, heldPart{p.parts[i], int64(p.tokens[i])})
+		e.parts = append(e.parts, heldPart{hash: p.parts[i], tokens: int64(p.tokens[i])})
 	}
 	e.running += heldPromptTokens + heldOutputTokens
 	e.evict()
@@ -99,11 +99,20 @@
 	return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{2000, 1000}, hot: true}
 }
 
+// heldRule is what a front sends of the parts of prompts, and thereby the rule of placement.
+type heldRule int
+
+const (
+	ignoreParts heldRule = iota // Nothing.
+	matchParts                  // Hashes only, as older fronts.
+	weighTokens                 // Hashes and sizes.
+)
+
 // heldReplay replays a load on engines that hold prompts.
 type heldReplay struct {
 	*bench
 	load    heldLoad
-	sizes   bool // The front sends the sizes of the parts.
+	rule    heldRule
 	random  *rand.Rand
 	began   time.Time
 	engines map[object.TargetName]*cachingEngine
@@ -118,9 +127,9 @@
 	hotAt       map[object.TargetName]int
 }
 
-func newHeldReplay(t *testing.T, load heldLoad, seed uint64, sizes bool) *heldReplay {
+func newHeldReplay(t *testing.T, load heldLoad, seed uint64, rule heldRule) *heldReplay {
 	r := &heldReplay{
-		bench: newDiscoveredBench(t, heldEngines, heldSlots), load: load, sizes: sizes, random: rand.New(rand.NewPCG(seed, 5)),
+		bench: newDiscoveredBench(t, heldEngines, heldSlots), load: load, rule: rule, random: rand.New(rand.NewPCG(seed, 5)),
 		engines: map[object.TargetName]*cachingEngine{}, started: map[object.TargetName]int64{},
 		prompts: map[wire.RequestID]prompt{}, sentAt: map[wire.RequestID]time.Time{}, ends: map[time.Time][]wire.Finish{},
 		ranAt: map[wire.RequestID]*cachingEngine{}, hotAt: map[object.TargetName]int{},
@@ -167,7 +176,10 @@
 	p := r.load.next(r.random)
 	id, decisions := r.send("first", func(w *wire.Register) {
 		w.PromptTokens, w.OutputTokens, w.Prefixes = heldPromptTokens, heldOutputTokens, p.parts
-		if r.sizes {
+		switch r.rule {
+		case ignoreParts:
+			w.Prefixes = nil
+		case weighTokens:
 			w.PrefixTokens = p.tokens
 		}
 		w.AnswerWithinMS = heldObjective.Milliseconds()
@@ -252,12 +264,12 @@
 	return fmt.Sprintf("first token %v, 95%% %v, on time %.4f, hot share %.3f", f.mean, f.worst20, f.onTime, f.hotShare)
 }
 
-func replayHeld(t *testing.T, load heldLoad, perSecond float64, sizes bool) heldFigures {
+func replayHeld(t *testing.T, load heldLoad, perSecond float64, rule heldRule) heldFigures {
 	var all []time.Duration
 	late, sent := 0, 0
 	f := heldFigures{}
 	for seed := range uint64(3) {
-		r := newHeldReplay(t, load, seed, sizes)
+		r := newHeldReplay(t, load, seed, rule)
 		r.replay(perSecond, 10*time.Second)
 		all = append(all, r.firstTokens...)
 		late += r.late
@@ -292,7 +304,8 @@
 	for _, load := range loads {
 		for _, perSecond := range []float64{200, 350} {
 			t.Run(fmt.Sprint(load.name, ", ", perSecond, " a second"), func(t *testing.T) {
-				before, after := replayHeld(t, load, perSecond, false), replayHeld(t, load, perSecond, true)
+				before, after := replayHeld(t, load, perSecond, matchParts), replayHeld(t, load, perSecond, weighTokens)
+				t.Logf("no prefixes:  %v", replayHeld(t, load, perSecond, ignoreParts))
 				t.Logf("present rule: %v", before)
 				t.Logf("held tokens:  %v", after)
 				require.LessOrEqual(t, after.mean, before.mean)
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -136,6 +136,7 @@
 func (s *Shard) stopRunning(q *request) {
 	t := q.target
 	t.removeRequest(q.estimatedTokens)
+	t.held.release(q.Prefixes)
 	q.tier.removeRunning(q)
 	q.target = nil
 	q.canceled = false
