--- a/internal/pool/shard/heldreplay_test.go
+++ b/internal/pool/shard/heldreplay_test.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -13,15 +12,13 @@
 	"redwinglock/internal/state/object"
 )
 
-// Engines of deployment B, fewer of them. A request has the prompt of its urgent class.
+// Prompts and memory resemble those of deployment B.
 const (
-	heldEngines, heldSlots = 40, 4
-	heldPromptTokens       = 3000
-	heldOutputTokens       = 54
-	heldPromptTokenTime    = 26 * time.Microsecond
-	heldDecodeTime         = 4430 * time.Microsecond
-	heldMemoryTokens       = 217_594
-	heldObjective          = 800 * time.Millisecond
+	heldSlots        = 4
+	heldPromptTokens = 3000
+	heldOutputTokens = 54
+	heldMemoryTokens = 217_594
+	heldObjective    = 800 * time.Millisecond
 )
 
 // cachingEngine simulates an engine that holds prompts. Its order of eviction is its own, not that of the
@@ -34,7 +31,7 @@
 
 // read returns how many tokens of a prompt the engine has to process, and holds the prompt from then on.
 func (e *cachingEngine) read(p prompt) int {
-	left, leading := heldPromptTokens, true
+	left, leading := p.size(), true
 	for i, hash := range p.parts {
 		at := slices.IndexFunc(e.parts, func(h heldPart) bool { return h.hash == hash })
 		leading = leading && at >= 0
@@ -48,7 +45,7 @@
 	for i := len(p.parts) - 1; i >= 0; i-- {
 		e.parts = append(e.parts, heldPart{hash: p.parts[i], tokens: int64(p.tokens[i])})
 	}
-	e.running += heldPromptTokens + heldOutputTokens
+	e.running += p.size() + p.output
 	e.evict()
 	return left
 }
@@ -69,11 +66,27 @@
 	parts  []wire.PrefixHash
 	tokens []int
 	hot    bool
+	output int
+}
+
+func (p prompt) size() int {
+	sum := 0
+	for _, n := range p.tokens {
+		sum += n
+	}
+	return sum
+}
+
+// heldFleet is a set of engines, which differ in speed by factors of 0.6 to 1.7.
+type heldFleet struct {
+	engines                     int
+	promptTokenTime, decodeTime time.Duration
 }
 
 // heldLoad is a pattern of prompts.
 type heldLoad struct {
 	name    string
+	fleet   heldFleet
 	memory  int
 	restart time.Duration // Time between restarts of engines, 0 for none.
 	next    func(*rand.Rand) prompt
@@ -85,18 +98,18 @@
 // sessionPrompt returns a prompt of one of the sessions, each of which returns every few seconds.
 func sessionPrompt(r *rand.Rand) prompt {
 	id := wire.PrefixHash(1+r.IntN(1000)) * 10
-	return prompt{parts: []wire.PrefixHash{id, id + 1, id + 2}, tokens: []int{1000, 1000, 1000}}
+	return prompt{parts: []wire.PrefixHash{id, id + 1, id + 2}, tokens: []int{1000, 1000, 1000}, output: heldOutputTokens}
 }
 
 func shortSharedPrompt(r *rand.Rand) prompt {
-	return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{60, 2940}}
+	return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{60, 2940}, output: heldOutputTokens}
 }
 
 func hotPrompt(r *rand.Rand) prompt {
 	if r.IntN(2) == 0 {
-		return prompt{parts: []wire.PrefixHash{newPart(r)}, tokens: []int{3000}}
+		return prompt{parts: []wire.PrefixHash{newPart(r)}, tokens: []int{3000}, output: heldOutputTokens}
 	}
-	return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{2000, 1000}, hot: true}
+	return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{2000, 1000}, hot: true, output: heldOutputTokens}
 }
 
 // heldRule is what a front sends of the parts of prompts, and thereby the rule of placement.
@@ -108,6 +121,18 @@
 	weighTokens                 // Hashes and sizes.
 )
 
+// deploymentPrompt returns the prompts of the classes of a deployment, which share 60 tokens.
+func deploymentPrompt(perSecond, outputs [3]int) func(*rand.Rand) prompt {
+	return func(r *rand.Rand) prompt {
+		class, n := 0, r.IntN(perSecond[0]+perSecond[1]+perSecond[2])
+		for ; n >= perSecond[class]; class++ {
+			n -= perSecond[class]
+		}
+		size := [3]int{2950, 1860, 603}[class]
+		return prompt{parts: []wire.PrefixHash{1, newPart(r)}, tokens: []int{60, size - 60}, output: outputs[class]}
+	}
+}
+
 // heldReplay replays a load on engines that hold prompts.
 type heldReplay struct {
 	*bench
@@ -129,17 +154,17 @@
 
 func newHeldReplay(t *testing.T, load heldLoad, seed uint64, rule heldRule) *heldReplay {
 	r := &heldReplay{
-		bench: newDiscoveredBench(t, heldEngines, heldSlots), load: load, rule: rule, random: rand.New(rand.NewPCG(seed, 5)),
+		bench: newDiscoveredBench(t, load.fleet.engines, heldSlots), load: load, rule: rule, random: rand.New(rand.NewPCG(seed, 5)),
 		engines: map[object.TargetName]*cachingEngine{}, started: map[object.TargetName]int64{},
 		prompts: map[wire.RequestID]prompt{}, sentAt: map[wire.RequestID]time.Time{}, ends: map[time.Time][]wire.Finish{},
 		ranAt: map[wire.RequestID]*cachingEngine{}, hotAt: map[object.TargetName]int{},
 	}
 	r.began = r.now
-	for i := range heldEngines {
+	for i := range load.fleet.engines {
 		slowness := 1 / (0.6 + 1.1*r.random.Float64())
 		r.engines[targetName(i)] = &cachingEngine{memory: load.memory, engine: engine{
-			promptTokenTime: time.Duration(float64(heldPromptTokenTime) * slowness),
-			outputTokenTime: time.Duration(float64(heldDecodeTime) * slowness),
+			promptTokenTime: time.Duration(float64(load.fleet.promptTokenTime) * slowness),
+			outputTokenTime: time.Duration(float64(load.fleet.decodeTime) * slowness),
 		}}
 		r.started[targetName(i)] = 1
 	}
@@ -149,7 +174,7 @@
 
 // configure applies the start times of the engines.
 func (r *heldReplay) configure() {
-	heldBench{r.bench}.configure(heldEngines, r.load.memory, r.started)
+	heldBench{r.bench}.configure(r.load.fleet.engines, r.load.memory, r.started)
 }
 
 // heldBench configures a bench with the memory of its targets.
@@ -175,7 +200,7 @@
 func (r *heldReplay) sendNext() {
 	p := r.load.next(r.random)
 	id, decisions := r.send("first", func(w *wire.Register) {
-		w.PromptTokens, w.OutputTokens, w.Prefixes = heldPromptTokens, heldOutputTokens, p.parts
+		w.PromptTokens, w.OutputTokens, w.Prefixes = p.size(), p.output, p.parts
 		switch r.rule {
 		case ignoreParts:
 			w.Prefixes = nil
@@ -204,10 +229,10 @@
 		at := r.now.Sub(r.began)
 		e.prefillUntil = max(e.prefillUntil, at) + time.Duration(e.read(p))*e.promptTokenTime
 		startedAt := r.began.Add(e.prefillUntil)
-		end := startedAt.Add(heldOutputTokens * e.outputTokenTime).Truncate(replayTick).Add(replayTick)
+		end := startedAt.Add(time.Duration(p.output) * e.outputTokenTime).Truncate(replayTick).Add(replayTick)
 		r.ranAt[grant.ID] = e
 		r.ends[end] = append(r.ends[end], wire.Finish{
-			ID: grant.ID, Pool: testPool, Dispatched: true, Begun: true, Completed: true, PromptTokens: heldPromptTokens, OutputTokens: heldOutputTokens,
+			ID: grant.ID, Pool: testPool, Dispatched: true, Begun: true, Completed: true, PromptTokens: p.size(), OutputTokens: p.output,
 			FirstTokenMS: startedAt.Sub(r.now).Milliseconds(), DecodeUS: e.outputTokenTime.Microseconds(),
 		})
 		r.recordFirstToken(grant, startedAt.Sub(r.sentAt[grant.ID]))
@@ -229,7 +254,7 @@
 
 // restartNext restarts one engine, which ends no request in this replay but loses all prompts.
 func (r *heldReplay) restartNext() {
-	name := targetName(r.random.IntN(heldEngines))
+	name := targetName(r.random.IntN(r.load.fleet.engines))
 	r.engines[name].parts = nil
 	r.started[name]++
 	r.configure()
@@ -238,7 +263,7 @@
 func (r *heldReplay) replay(perSecond float64, length time.Duration) {
 	for until := r.now.Add(length); r.now.Before(until); {
 		for _, f := range r.ends[r.now] {
-			r.ranAt[f.ID].running -= heldPromptTokens + heldOutputTokens
+			r.ranAt[f.ID].running -= f.PromptTokens + f.OutputTokens
 			r.run(r.shard.Finish(r.now, f))
 		}
 		delete(r.ends, r.now)
@@ -253,65 +278,3 @@
 	}
 }
 
-// heldFigures are the results of a replay.
-type heldFigures struct {
-	mean, worst20 time.Duration // Mean, and the time that one in twenty exceeds.
-	onTime        float64
-	hotShare      float64 // The largest fraction of the hot requests that one target got.
-}
-
-func (f heldFigures) String() string {
-	return fmt.Sprintf("first token %v, 95%% %v, on time %.4f, hot share %.3f", f.mean, f.worst20, f.onTime, f.hotShare)
-}
-
-func replayHeld(t *testing.T, load heldLoad, perSecond float64, rule heldRule) heldFigures {
-	var all []time.Duration
-	late, sent := 0, 0
-	f := heldFigures{}
-	for seed := range uint64(3) {
-		r := newHeldReplay(t, load, seed, rule)
-		r.replay(perSecond, 10*time.Second)
-		all = append(all, r.firstTokens...)
-		late += r.late
-		sent += r.sent
-		hot, most := 0, 0
-		for _, n := range r.hotAt {
-			hot, most = hot+n, max(most, n)
-		}
-		f.hotShare = max(f.hotShare, float64(most)/float64(max(hot, 1)))
-	}
-	slices.Sort(all)
-	sum := time.Duration(0)
-	for _, d := range all {
-		sum += d
-	}
-	f.mean = (sum / time.Duration(len(all))).Round(10 * time.Microsecond)
-	f.worst20 = all[len(all)*95/100].Round(10 * time.Microsecond)
-	f.onTime = float64(len(all)-late) / float64(sent)
-	return f
-}
-
-// TestHeldPromptsStartSooner guards against placements by held prompts that make answers begin later than
-// the fraction of matched parts does.
-func TestHeldPromptsStartSooner(t *testing.T) {
-	loads := []heldLoad{
-		{"sessions", heldMemoryTokens, 0, sessionPrompt},
-		{"60 of 3,000 tokens are shared", heldMemoryTokens, 0, shortSharedPrompt},
-		{"half of all requests share 2,000 tokens", heldMemoryTokens, 0, hotPrompt},
-		{"sessions while targets restart", heldMemoryTokens, 250 * time.Millisecond, sessionPrompt},
-		{"sessions and too little memory", 40_000, 0, sessionPrompt},
-	}
-	for _, load := range loads {
-		for _, perSecond := range []float64{200, 350} {
-			t.Run(fmt.Sprint(load.name, ", ", perSecond, " a second"), func(t *testing.T) {
-				before, after := replayHeld(t, load, perSecond, matchParts), replayHeld(t, load, perSecond, weighTokens)
-				t.Logf("no prefixes:  %v", replayHeld(t, load, perSecond, ignoreParts))
-				t.Logf("present rule: %v", before)
-				t.Logf("held tokens:  %v", after)
-				require.LessOrEqual(t, after.mean, before.mean)
-				require.GreaterOrEqual(t, after.onTime, before.onTime-0.001)
-				require.LessOrEqual(t, after.hotShare, 0.1)
-			})
-		}
-	}
-}
