--- a/internal/pool/shard/heldreplay_test.go
+++ b/internal/pool/shard/heldreplay_test.go
@@ -277,4 +277,3 @@
 		r.run(r.advance(replayTick))
 	}
 }
-
