--- a/internal/peer/front/log_test.go
+++ b/internal/peer/front/log_test.go
@@ -8,9 +8,12 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/pool/shard"
+	"redwinglock/internal/state/common"
+	"redwinglock/internal/state/object"
 	"redwinglock/internal/state/outcome"
 )
 
@@ -31,3 +34,19 @@
 	require.Equal(t, refusalLinesPerSecond+1, len(lines.AllEntries()))
 	require.Equal(t, map[outcome.Reason]int{outcome.NoTarget: 1000}, lines.LastEntry().Data["refused"].(refusalCounts)["layout"])
 }
+
+// TestHeldPromptsAreInTheStateOfThePool guards against a log line and counters without what was decided
+// because of held prompts.
+func TestHeldPromptsAreInTheStateOfThePool(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	s := &Server{common: &common.Common{Metrics: scope}}
+	counts := &shard.Counts{HeldTokens: 2000, BusierForHeld: 1}
+	s.countHeld(counts)
+	s.countHeld(&shard.Counts{})
+	counters := scope.Snapshot().Counters()
+	require.EqualValues(t, 2000, counters["held_prompt_tokens+"].Value())
+	require.EqualValues(t, 1, counters["grants_busier_for_held_prompt+"].Value())
+	fields := countFields(map[object.TierName]*shard.Counts{"layout": counts})
+	require.Equal(t, map[object.TierName]int{"layout": 2000}, fields["held-prompt-tokens"])
+	require.Equal(t, map[object.TierName]int{"layout": 1}, fields["busier-for-held"])
+}
--- a/internal/pool/shard/heldrules_test.go
+++ b/internal/pool/shard/heldrules_test.go
@@ -74,7 +74,9 @@
 // compareHeldRules replays a load with each rule and returns the results of the one that weighs tokens.
 func compareHeldRules(t *testing.T, load heldLoad, perSecond float64) heldFigures {
 	before, after := replayHeld(t, load, perSecond, matchParts), replayHeld(t, load, perSecond, weighTokens)
-	t.Logf("no prefixes:  %v", replayHeld(t, load, perSecond, ignoreParts))
+	if testing.Verbose() {
+		t.Logf("no prefixes:  %v", replayHeld(t, load, perSecond, ignoreParts))
+	}
 	t.Logf("present rule: %v", before)
 	t.Logf("held tokens:  %v", after)
 	require.Less(t, float64(after.mean), maxHeldTime*float64(before.mean))
