--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -36,6 +36,7 @@
 		s.countRateLimited("held-back", c.HeldBack)
 		s.countRateLimited("diverted", c.Diverted)
 		s.countOnIdleConnection(c.OnIdleConnection)
+		s.countCached(c)
 	}
 	return countFields(counts)
 }
@@ -57,6 +58,16 @@
 	s.common.Metrics.Counter("grants_on_idle_connections").Inc(int64(n))
 }
 
+// countCached counts the prompt tokens that targets were expected to hold, and the grants of busier targets
+// for them.
+func (s *Server) countCached(c *shard.Counts) {
+	if c.CachedTokens == 0 {
+		return
+	}
+	s.common.Metrics.Counter("cached_prompt_tokens").Inc(int64(c.CachedTokens))
+	s.common.Metrics.Counter("grants_busier_for_cache").Inc(int64(c.BusierForCache))
+}
+
 // refusalCounts holds the number of refusals by class and reason.
 type refusalCounts map[object.TierName]map[outcome.Reason]int
 
@@ -64,6 +75,7 @@
 func countFields(counts map[object.TierName]*shard.Counts) logrus.Fields {
 	granted, grantedLate, refusedAgain := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
 	onIdleConnection := map[object.TierName]int{}
+	cachedTokens, busierForCache := map[object.TierName]int{}, map[object.TierName]int{}
 	heldBack, diverted, deferred := map[object.TierName]int{}, map[object.TierName]int{}, map[object.TierName]int{}
 	refused := refusalCounts{}
 	for class, c := range counts {
@@ -72,12 +84,14 @@
 		refused[class] = c.Refused
 		refusedAgain[class] = c.RefusedAgain
 		onIdleConnection[class] = c.OnIdleConnection
+		cachedTokens[class], busierForCache[class] = c.CachedTokens, c.BusierForCache
 		heldBack[class], diverted[class], deferred[class] = c.HeldBack, c.Diverted, c.Deferred
 	}
 	return logrus.Fields{
 		"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain,
 		"waited-for-rate": heldBack, "diverted-by-rate": diverted, "deferred-for-share": deferred,
 		"on-idle-connection": onIdleConnection,
+		"cached-prompt-tokens": cachedTokens, "busier-for-cache": busierForCache,
 	}
 }
 
--- a/internal/pool/shard/counts.go
+++ b/internal/pool/shard/counts.go
@@ -21,6 +21,9 @@
 	Deferred int
 	// OnIdleConnection counts grants of a target to which the front has an idle connection.
 	OnIdleConnection int
+	// CachedTokens is the number of prompt tokens that the granted targets were expected to hold.
+	// BusierForCache counts grants of a target that was busier than another one, for what it held.
+	CachedTokens, BusierForCache int
 }
 
 // countsOf returns the counts of a class.
