object: check accounts and routes in the order of their names

Of two accounts with the same key, or two routes with the same host and prefix, the error named one or the other, depending on the iteration order of a map. A check of a configuration needs stable messages.

--- a/internal/state/object/check.go
+++ b/internal/state/object/check.go
@@ -4,9 +4,11 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/url"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -126,8 +128,18 @@
 	}
 }
 
+// byName returns the objects sorted by name, so that of two objects in conflict the errors always
+// name the same one.
+func byName[N ~string, O any](objects map[N]O) []O {
+	result := make([]O, 0, len(objects))
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		result = append(result, objects[name])
+	}
+	return result
+}
+
 func (c *checker) checkAccounts() {
-	for _, a := range c.accounts {
+	for _, a := range byName(c.accounts) {
 		if len(a.Tiers) == 0 {
 			c.addError(a, "tiers", "at least one tier is needed")
 		}
@@ -307,7 +319,7 @@
 
 func (c *checker) checkRoutes() {
 	routeByKey := map[routeKey]RouteName{}
-	for _, r := range c.routes {
+	for _, r := range byName(c.routes) {
 		key := routeKey{r.Host, r.PathPrefix}
 		if other, exists := routeByKey[key]; exists {
 			c.addError(r, "path-prefix", "host and path are also those of route/%s", other)
