Add check-config, a check of the operator's configuration before it is sent

It prints errors, entries that can never match, limits that contradict each other and the differences from the version in force, without a host or a store.

--- a/internal/state/settings/gateway.go
+++ b/internal/state/settings/gateway.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// Defaults of the limits of a request at a gateway.
+const (
+	DefaultGatewayMaxBodyBytes   = 4 << 20
+	DefaultGatewayMaxHeaderBytes = 64 << 10
+)
+
 // Gateway holds the settings of a gateway, a host that forwards requests unchanged.
 type Gateway struct {
 	// Callers, Readiness and Directory are the listen addresses for callers, for the readiness
@@ -71,8 +77,8 @@
 	setDefault(&g.Rollout.Share, 0.1)
 	setDefault(&g.StoreTimeout, time.Second)
 	setDefault(&g.AddressTTL, 2*time.Second)
-	setDefault(&g.MaxBodyBytes, 4<<20)
-	setDefault(&g.MaxHeaderBytes, 64<<10)
+	setDefault(&g.MaxBodyBytes, DefaultGatewayMaxBodyBytes)
+	setDefault(&g.MaxHeaderBytes, DefaultGatewayMaxHeaderBytes)
 	setDefault(&g.RetryShare, 0.1)
 	setDefault(&g.RetrySlack, 50)
 	setDefault(&g.StopServe, 4*time.Second)
--- a/main.go
+++ b/main.go
@@ -15,6 +15,7 @@
 	"redwinglock/internal/state/object"
 	"redwinglock/internal/state/settings"
 	"redwinglock/platform"
+	"redwinglock/platform/configcheck"
 )
 
 type serveCommand struct {
@@ -26,6 +27,11 @@
 	Path string `arg:"positional,required" help:"directory or file with objects in YAML"`
 }
 
+type checkConfigCommand struct {
+	File    string `arg:"positional,required" help:"operator's configuration in JSON"`
+	InForce string `arg:"--in-force" placeholder:"FILE" help:"configuration in force, to compare with"`
+}
+
 type keysCommand struct {
 	Keys []string `arg:"positional" help:"objects as kind/name"`
 }
@@ -61,21 +67,22 @@
 }
 
 type arguments struct {
-	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry host"`
-	Check    *pathCommand     `arg:"subcommand:check" help:"check objects without a host"`
-	Apply    *pathCommand     `arg:"subcommand:apply" help:"publish objects as one change set"`
-	Diff     *pathCommand     `arg:"subcommand:diff" help:"show what apply would change (exit code 5 if anything)"`
-	Get      *keysCommand     `arg:"subcommand:get" help:"print objects"`
-	Delete   *keysCommand     `arg:"subcommand:delete" help:"delete objects as one change set"`
-	Drain    *targetsCommand  `arg:"subcommand:drain" help:"send no new work to targets"`
-	Undrain  *targetsCommand  `arg:"subcommand:undrain" help:"send work to targets again"`
-	Status   *struct{}        `arg:"subcommand:status" help:"print the state of a host"`
-	Explain  *explainCommand  `arg:"subcommand:explain" help:"print what the logs of hosts tell of one request"`
-	Pools    *poolsCommand    `arg:"subcommand:pools" help:"print the states of pools that the logs of hosts tell"`
-	Prefixes *prefixesCommand `arg:"subcommand:prefixes" help:"print the prompt prefixes that crash targets"`
-	Release  *releaseCommand  `arg:"subcommand:release" help:"send requests with a held prompt prefix again"`
-	HashKey  *hashKeyCommand  `arg:"subcommand:hash-key" help:"print the digest under which a key is stored"`
-	Version  *struct{}        `arg:"subcommand:version" help:"print the version"`
+	Serve       *serveCommand       `arg:"subcommand:serve" help:"run an entry host"`
+	Check       *pathCommand        `arg:"subcommand:check" help:"check objects without a host"`
+	CheckConfig *checkConfigCommand `arg:"subcommand:check-config" help:"check an operator's configuration without a host or a store"`
+	Apply       *pathCommand        `arg:"subcommand:apply" help:"publish objects as one change set"`
+	Diff        *pathCommand        `arg:"subcommand:diff" help:"show what apply would change (exit code 5 if anything)"`
+	Get         *keysCommand        `arg:"subcommand:get" help:"print objects"`
+	Delete      *keysCommand        `arg:"subcommand:delete" help:"delete objects as one change set"`
+	Drain       *targetsCommand     `arg:"subcommand:drain" help:"send no new work to targets"`
+	Undrain     *targetsCommand     `arg:"subcommand:undrain" help:"send work to targets again"`
+	Status      *struct{}           `arg:"subcommand:status" help:"print the state of a host"`
+	Explain     *explainCommand     `arg:"subcommand:explain" help:"print what the logs of hosts tell of one request"`
+	Pools       *poolsCommand       `arg:"subcommand:pools" help:"print the states of pools that the logs of hosts tell"`
+	Prefixes    *prefixesCommand    `arg:"subcommand:prefixes" help:"print the prompt prefixes that crash targets"`
+	Release     *releaseCommand     `arg:"subcommand:release" help:"send requests with a held prompt prefix again"`
+	HashKey     *hashKeyCommand     `arg:"subcommand:hash-key" help:"print the digest under which a key is stored"`
+	Version     *struct{}           `arg:"subcommand:version" help:"print the version"`
 
 	URL string `arg:"--url,env:REDWINGLOCK_URL" default:"http://127.0.0.1:7003" help:"operators' listener of a host"`
 	Key string `arg:"--key,env:REDWINGLOCK_KEY" help:"operator key"`
@@ -109,6 +116,8 @@
 		return serve(args.Serve)
 	case args.Check != nil:
 		return command.Check(args.Check.Path, os.Stdout)
+	case args.CheckConfig != nil:
+		return command.CheckConfig(args.CheckConfig.File, args.CheckConfig.InForce, configcheck.Check, os.Stdout)
 	case args.Apply != nil:
 		return commands.Apply(ctx, args.Apply.Path)
 	case args.Diff != nil:
