--- a/internal/entry/gateway/registration.go
+++ b/internal/entry/gateway/registration.go
@@ -33,7 +33,7 @@
 		Avoid:        r.tried,
 		Zone:         s.common.Settings.Zone,
 	}
-	if s.common.Settings.Gateway.KeptPrompts {
+	if g := s.common.Settings.Gateway; g != nil && g.KeptPrompts {
 		w.PrefixTokens = r.info.PrefixTokens
 	}
 	if r.info.ExpectedOutput > 0 {
--- a/internal/entry/gateway/registration_test.go
+++ b/internal/entry/gateway/registration_test.go
@@ -32,7 +32,7 @@
 func TestPrefixTokensAreRegisteredIfEnabled(t *testing.T) {
 	for _, enabled := range []bool{false, true} {
 		s := &Server{common: &common.Common{Settings: &settings.Settings{}}}
-		s.common.Settings.Gateway.KeptPrompts = enabled
+		s.common.Settings.Gateway = &settings.Gateway{KeptPrompts: enabled}
 		info := RequestInfo{PromptTokens: 100, Prefixes: []wire.PrefixHash{1, 2}, PrefixTokens: []int{60, 30}}
 		w := s.registration(&request{route: &object.Route{}, arrived: time.Now(), info: info}, false)
 		require.Equal(t, info.Prefixes, w.Prefixes)
