shard: a target with a rate limit is not passed over for an idle connection

A target that accepts few requests has hardly any idle connections, so it got 3 to 8 requests in a time in which it accepts 19 (TestTargetIsSentMoreThanItsRateLimit asks for 10).

--- a/internal/pool/shard/connections.go
+++ b/internal/pool/shard/connections.go
@@ -111,9 +111,10 @@
 
 // preferConnection returns the least loaded target to which the front has an idle connection, if the
 // answer begins in time there, not much later than at the given target, which is not much less loaded. Otherwise it
-// returns the given one. A new connection costs a round trip and work at the target.
+// returns the given one. A new connection costs a round trip and work at the target. A target with a rate limit is
+// not passed over: it has hardly any idle connections, and would get less than it accepts.
 func (s *Shard) preferConnection(now time.Time, q *request, side trial.Side, otherwise *target) *target {
-	if !s.startsInTime(now, q, otherwise) || otherwise.tooSlow(now, q) {
+	if otherwise.rateLimit > 0 || !s.startsInTime(now, q, otherwise) || otherwise.tooSlow(now, q) {
 		return otherwise
 	}
 	var best *target
