--- a/internal/peer/front/log.go
+++ b/internal/peer/front/log.go
@@ -90,7 +90,7 @@
 	return logrus.Fields{
 		"granted": granted, "granted-late": grantedLate, "refused": refused, "refused-again": refusedAgain,
 		"waited-for-rate": heldBack, "diverted-by-rate": diverted, "deferred-for-share": deferred,
-		"on-idle-connection": onIdleConnection,
+		"on-idle-connection":   onIdleConnection,
 		"cached-prompt-tokens": cachedTokens, "busier-for-cache": busierForCache,
 	}
 }
--- a/internal/pool/shard/promptcachereplay_test.go
+++ b/internal/pool/shard/promptcachereplay_test.go
@@ -117,8 +117,8 @@
 
 const (
 	ignoreParts cacheRule = iota // Nothing.
-	matchParts                  // Hashes only, as older fronts.
-	weighTokens                 // Hashes and sizes.
+	matchParts                   // Hashes only, as older fronts.
+	weighTokens                  // Hashes and sizes.
 )
 
 // deploymentPrompt returns the prompts of the classes of a deployment, which share 60 tokens.
