--- a/internal/pool/shard/promptcacherules_test.go
+++ b/internal/pool/shard/promptcacherules_test.go
@@ -9,21 +9,21 @@
 	"github.com/stretchr/testify/require"
 )
 
-// heldFigures are the results of a replay.
-type heldFigures struct {
+// cacheFigures are the results of a replay.
+type cacheFigures struct {
 	mean, worst20 time.Duration // Mean, and the time that one in twenty exceeds.
 	onTime        float64
 	hotShare      float64 // The largest fraction of the hot requests that one target got.
 }
 
-func (f heldFigures) String() string {
+func (f cacheFigures) String() string {
 	return fmt.Sprintf("first token %v, 95%% %v, on time %.4f, hot share %.3f", f.mean, f.worst20, f.onTime, f.hotShare)
 }
 
-func replayHeld(t *testing.T, load cacheLoad, perSecond float64, rule cacheRule) heldFigures {
+func replayCache(t *testing.T, load cacheLoad, perSecond float64, rule cacheRule) cacheFigures {
 	var all []time.Duration
 	late, sent := 0, 0
-	f := heldFigures{}
+	f := cacheFigures{}
 	for seed := range uint64(3) {
 		r := newCacheReplay(t, load, seed, rule)
 		r.replay(perSecond, 10*time.Second)
@@ -47,9 +47,9 @@
 	return f
 }
 
-// TestHeldPromptsStartSooner guards against placements by held prompts that make answers begin later than
+// TestCachedPromptsStartSooner guards against placements by held prompts that make answers begin later than
 // the fraction of matched parts does.
-func TestHeldPromptsStartSooner(t *testing.T) {
+func TestCachedPromptsStartSooner(t *testing.T) {
 	fleet := cacheFleet{40, 26 * time.Microsecond, 4430 * time.Microsecond}
 	loads := []cacheLoad{
 		{"sessions", fleet, cacheMemoryTokens, 0, sessionPrompt},
@@ -72,10 +72,10 @@
 const maxHeldTime = 0.97
 
 // compareHeldRules replays a load with each rule and returns the results of the one that weighs tokens.
-func compareHeldRules(t *testing.T, load cacheLoad, perSecond float64) heldFigures {
-	before, after := replayHeld(t, load, perSecond, matchParts), replayHeld(t, load, perSecond, weighTokens)
+func compareHeldRules(t *testing.T, load cacheLoad, perSecond float64) cacheFigures {
+	before, after := replayCache(t, load, perSecond, matchParts), replayCache(t, load, perSecond, weighTokens)
 	if testing.Verbose() {
-		t.Logf("no prefixes:  %v", replayHeld(t, load, perSecond, ignoreParts))
+		t.Logf("no prefixes:  %v", replayCache(t, load, perSecond, ignoreParts))
 	}
 	t.Logf("present rule: %v", before)
 	t.Logf("held tokens:  %v", after)
