--- a/review/_cases2/readers.go
+++ b/review/_cases2/readers.go
@@ -16,6 +16,8 @@
 	// slowReaders is the number of clients that read slowly. Each asks for a stream of the largest size of the sheet.
 	slowReaders = 100
 	slowEvents  = 700
+	// slowBytes is what a slow reader takes in a second.
+	slowBytes = 64
 	// slowDeadline is the deadline of their requests, and the timeout of their route.
 	slowDeadline = 15 * time.Second
 	// judgedTime is how long ordinary callers are judged, from judgedAfter after the deadline of the last slow reader.
@@ -107,7 +109,7 @@
 	return exitHeld, nil
 }
 
-// readStream sends one request and reads its answer, slowly or at once. A slow reader takes one byte a second.
+// readStream sends one request and reads its answer, slowly or at once. A slow reader takes slowBytes a second.
 func readStream(r *record, c call, address string, slowly bool, stop <-chan struct{}) {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
@@ -132,7 +134,7 @@
 		r.printf("reader: request %s: %d bytes read, %v", c.id, n, err)
 		return
 	}
-	buffer := make([]byte, 1)
+	buffer := make([]byte, slowBytes)
 	total := 0
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
