--- a/review/_cases2/harness.go
+++ b/review/_cases2/harness.go
@@ -61,6 +61,15 @@
 	// servers are those of the store, one for each host, so that it can turn single hosts away, and of targets.
 	servers []*http.Server
 	targets []*standin.Target
+
+	mu sync.Mutex // Guards servers.
+}
+
+// addServer adds a server that ends with the site.
+func (s *site) addServer(server *http.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, server)
 }
 
 // host is one machine with its process.
@@ -132,7 +141,7 @@
 			s.store.ServeHTTP(w, q)
 		}
 	})}
-	s.servers = append(s.servers, server)
+	s.addServer(server)
 	go func() { _ = server.Serve(listener) }() // Ends with close.
 	address := func(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 	h.callers, h.ready, h.directory, h.peers = address(portCallers), address(portReady), address(portDirectory), address(portPeers)
@@ -236,6 +245,8 @@
 	for _, t := range s.targets {
 		_ = t.Close()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
@@ -332,7 +343,7 @@
 		"readers": playReaders,
 		"join":    playJoin,
 		"poison":  playPoison,
-		"sparse":  playSparse,
+		"begun":   playBegun,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-cases2 CASE")
--- a/review/_cases2/readers.go
+++ b/review/_cases2/readers.go
@@ -37,7 +37,7 @@
 	}
 	var targets []*streamTarget
 	for n := range readerTargets {
-		t, err := s.newStreamTarget(fmt.Sprintf("i-m%d", n), readerSlots)
+		t, err := s.newStreamTarget(fmt.Sprintf("i-m%d", n), readerSlots, nil)
 		if err != nil {
 			return exitNotRun, err
 		}
--- a/review/_cases2/target.go
+++ b/review/_cases2/target.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"redwinglock/platform/standin"
 )
 
 // streamTarget is a small model worker whose events have the size that the sheet of a small deployment allows. It
@@ -21,6 +24,29 @@
 	// running is the number of requests at work.
 	running atomic.Int64
 	began   atomic.Int64
+	// poisonEvents is the number of events of an answer to a prompt with the part that crashes workers after which
+	// this one crashes, 0 if no prompt crashes it. crash is called once then.
+	poisonEvents int
+	crashed      atomic.Bool
+	crash        func()
+	arrivals     *arrivals
+}
+
+// arrivals are the requests with the part that crashes workers that reached a worker.
+type arrivals struct {
+	mu  sync.Mutex
+	all []arrival
+}
+
+type arrival struct {
+	request, target string
+	at              time.Time
+}
+
+func (a *arrivals) add(r arrival) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.all = append(a.all, r)
 }
 
 const (
@@ -30,15 +56,19 @@
 	eventSize  = 4
 )
 
-func (s *site) newStreamTarget(id string, slots int) (*streamTarget, error) {
+// newStreamTarget starts a worker and registers it. prepare, which may be nil, is called before it serves.
+func (s *site) newStreamTarget(id string, slots int, prepare func(*streamTarget)) (*streamTarget, error) {
 	listener, err := net.Listen("tcp", newIP()+":0")
 	if err != nil {
 		return nil, err
 	}
 	t := &streamTarget{id: id, address: listener.Addr().String(), slots: int64(slots)}
 	t.server = &http.Server{Handler: t}
+	s.addServer(t.server)
+	if prepare != nil {
+		prepare(t)
+	}
 	go func() { _ = t.server.Serve(listener) }() // Ends with the case.
-	s.servers = append(s.servers, t.server)
 	entry, err := json.Marshal(map[string]any{
 		"service": "models", "address": t.address, "zone": "a", "version": "1", "slots": slots, "state": "ready", "seq": 1, "born": time.Now().UnixMilli(),
 	})
@@ -65,6 +95,10 @@
 	}
 	defer t.running.Add(-1)
 	t.began.Add(1)
+	isPoison := t.poisonEvents > 0 && strings.Contains(r.Header.Get(headerNames["prefix"]), ","+standin.PoisonPart+":")
+	if isPoison {
+		t.arrivals.add(arrival{r.Header.Get(headerNames["request-id"]), t.id, time.Now()})
+	}
 	left, _ := strconv.Atoi(r.Header.Get(headerNames["deadline"]))
 	deadline := time.After(time.Duration(left) * time.Millisecond)
 	_, output, _ := strings.Cut(r.Header.Get(headerNames["tokens"]), ",")
@@ -89,5 +123,12 @@
 		if control.Flush() != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if isPoison && number-after >= t.poisonEvents {
+			if t.crashed.CompareAndSwap(false, true) {
+				go t.crash()
+			}
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
