arbiter: log and count crashes of targets and the prompt parts blamed for them

Neither log nor counter told three explanations apart: the crashes are not recognised as such; they are, but nobody is blamed; a part is blamed and cleared again by sound answers. The arbiter now reports each confirmed crash with the number of requests that it broke, of those whose answers had begun, and of the prompt parts against which it may count.

--- a/internal/peer/front/log_test.go
+++ b/internal/peer/front/log_test.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/quarantine"
 	"redwinglock/internal/pool/shard"
 	"redwinglock/internal/state/common"
 	"redwinglock/internal/state/object"
@@ -22,7 +23,7 @@
 func TestFloodOfRefusalsLeavesTheStateOfThePoolInTheLog(t *testing.T) {
 	logger, lines := logtest.NewNullLogger()
 	s := &Server{log: logrus.NewEntry(logger)}
-	w := newWorker("pool", shard.NewQuotas(), 0, func(time.Time, wire.PrefixNotice) {})
+	w := newWorker("pool", shard.NewQuotas(), 0, func(time.Time, wire.PrefixNotice) {}, func(object.PoolName, quarantine.Crash) {})
 	session := &Session{server: s, box: wire.NewOutbox[wire.Down]()}
 	now := time.Unix(1000, 0)
 	for i := range 1000 {
--- a/internal/peer/front/prefixes.go
+++ b/internal/peer/front/prefixes.go
@@ -8,6 +8,7 @@
 
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/pool/quarantine"
+	"redwinglock/internal/state/object"
 )
 
 // forwardedPrefixes holds the notices about prompt prefixes that this arbiter has sent to its fronts.
@@ -37,6 +38,16 @@
 	s.sendPrefix(now, n)
 }
 
+// reportCrash logs and counts a crash of a target that broke requests.
+func (s *Server) reportCrash(pool object.PoolName, c quarantine.Crash) {
+	metrics := s.common.Metrics.Tagged(map[string]string{"pool": string(pool)})
+	metrics.Counter("target_crashes").Inc(1)
+	metrics.Counter("requests_broken_by_crashes").Inc(int64(c.Broken))
+	s.log.WithFields(logrus.Fields{
+		"pool": pool, "target": c.Target, "broken": c.Broken, "begun": c.Begun, "blamed-prefixes": c.Blamed,
+	}).Info("Target crashed.")
+}
+
 // recordPrefix records a notice about a prompt prefix that a front sends, and forwards it. The shard of the
 // pool learns it before the next request of the front.
 func (s *Server) recordPrefix(now time.Time, n wire.PrefixNotice) {
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -145,7 +145,7 @@
 	if w := s.workers[pool]; w != nil {
 		return w
 	}
-	w = newWorker(pool, s.quotas, seedOf(s.board.Members().Self.Run), s.announcePrefix)
+	w = newWorker(pool, s.quotas, seedOf(s.board.Members().Self.Run), s.announcePrefix, s.reportCrash)
 	if g := s.common.Settings.Gateway; g != nil {
 		w.shard.SetRolloutLimits(shard.RolloutLimits{Share: g.Rollout.Share, Slack: g.Rollout.Slack})
 		w.shard.SetStartWait(g.ArbiterWait)
--- a/internal/peer/front/worker.go
+++ b/internal/peer/front/worker.go
@@ -32,6 +32,8 @@
 	share      shard.Share
 	// announce notifies all fronts of a prompt prefix that may crash targets.
 	announce func(now time.Time, n wire.PrefixNotice)
+	// reportCrash logs and counts a crash of a target.
+	reportCrash func(object.PoolName, quarantine.Crash)
 	// loggedAt is when the state of the pool was last logged. refusals limits the log lines about
 	// refusals, so that the log does not drop the state of the pool under load.
 	loggedAt time.Time
@@ -54,7 +56,7 @@
 	return digest.Of(string(run))
 }
 
-func newWorker(pool object.PoolName, quotas *shard.Quotas, seed uint64, announce func(time.Time, wire.PrefixNotice)) *worker {
+func newWorker(pool object.PoolName, quotas *shard.Quotas, seed uint64, announce func(time.Time, wire.PrefixNotice), reportCrash func(object.PoolName, quarantine.Crash)) *worker {
 	decisions := shard.New(pool, quotas)
 	decisions.SetTieBreakSeed(seed)
 	return &worker{
@@ -64,7 +66,7 @@
 		requests: map[*Session]map[wire.RequestID]bool{},
 		share:    shard.Share{Slots: 1, Quota: 1},
 		refusals: common.RateLimit{Limit: refusalLinesPerSecond},
-		announce: announce,
+		announce: announce, reportCrash: reportCrash,
 	}
 }
 
@@ -214,6 +216,8 @@
 			w.send(d.ID, wire.Down{Cancel: &wire.Cancel{Attempt: w.sessions[d.ID].attempt, ID: d.ID}})
 		case shard.Announce:
 			w.announce(now, d.Notice)
+		case shard.ReportCrash:
+			w.reportCrash(w.pool, d.Crash)
 		}
 	}
 }
--- a/internal/pool/quarantine/crash.go
+++ b/internal/pool/quarantine/crash.go
@@ -23,10 +23,21 @@
 	minBroken = 2
 )
 
+// Crash is a confirmed crash of a target.
+type Crash struct {
+	Target object.TargetName
+	// Broken is the number of requests whose connections the crash broke, Begun the number of them whose answers had
+	// begun.
+	Broken, Begun int
+	// Blamed is the number of prefixes against which the crash may count.
+	Blamed int
+}
+
 // breakage is a group of broken connections to one target.
 type breakage struct {
-	at    time.Time
-	count int
+	at time.Time
+	// count is the number of broken connections, begun the number of those whose answers had begun.
+	count, begun int
 	// unbegun are the requests whose answers had not begun.
 	unbegun []Attempt
 }
@@ -52,6 +63,9 @@
 		t.breaks[a.Target] = b
 	}
 	b.count++
+	if a.Begun {
+		b.begun++
+	}
 	if !a.Begun {
 		b.unbegun = append(b.unbegun, a)
 		t.delayNext(now.Add(unconfirmedGap), a.Prefixes)
@@ -99,6 +113,7 @@
 			t.blame(now, prefix, a)
 		}
 	}
+	t.crashes = append(t.crashes, Crash{Target: target, Broken: b.count, Begun: b.begun, Blamed: len(blamed)})
 }
 
 // refute drops the broken connections to a target that still runs.
--- a/internal/pool/quarantine/notice.go
+++ b/internal/pool/quarantine/notice.go
@@ -32,6 +32,13 @@
 	return notices
 }
 
+// TakeCrashes returns the confirmed crashes since the last call.
+func (t *Tracker) TakeCrashes() []Crash {
+	crashes := t.crashes
+	t.crashes = nil
+	return crashes
+}
+
 // Learn applies a notice of another host, unless a newer one is known.
 func (t *Tracker) Learn(now time.Time, n wire.PrefixNotice) {
 	e := t.evidenceOf(n.Prefix)
--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -117,6 +117,7 @@
 	// arrived is the number of requests of the pool.
 	arrived   int
 	notices   []wire.PrefixNotice
+	crashes   []Crash
 	expiredAt time.Time
 }
 
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -4,11 +4,12 @@
 	"time"
 
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/quarantine"
 	"redwinglock/internal/state/object"
 	"redwinglock/internal/state/outcome"
 )
 
-// Decision is a Grant, Refuse, Cancel or Announce.
+// Decision is a Grant, Refuse, Cancel, Announce or ReportCrash.
 type Decision interface {
 	isDecision()
 }
@@ -76,7 +77,13 @@
 	Notice wire.PrefixNotice
 }
 
-func (Grant) isDecision()    {}
-func (Refuse) isDecision()   {}
-func (Cancel) isDecision()   {}
-func (Announce) isDecision() {}
+// ReportCrash reports that a target has crashed while it ran requests, for the log and the metrics.
+type ReportCrash struct {
+	Crash quarantine.Crash
+}
+
+func (Grant) isDecision()       {}
+func (Refuse) isDecision()      {}
+func (Cancel) isDecision()      {}
+func (Announce) isDecision()    {}
+func (ReportCrash) isDecision() {}
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -23,6 +23,9 @@
 	for _, n := range s.quarantine.TakeNotices() {
 		s.decisions = append(s.decisions, Announce{n})
 	}
+	for _, c := range s.quarantine.TakeCrashes() {
+		s.decisions = append(s.decisions, ReportCrash{c})
+	}
 	decisions := s.decisions
 	s.decisions = nil
 	return decisions
