quarantine: only a complete answer proves that no part of a prompt crashes targets

Cause: two events counted as proof. Ruled out: crashes that are not recognised (each has its line); parts that sound answers clear (no change of state); a higher number of events (trials: a crash after 4 or 8 events of 15 broke as well). Change: a complete answer is the only proof; all requests that a crash breaks are blamed, unless one that ran alone with a suspect part explains it; chance is reckoned from the time that requests spend at targets; requests with suspect parts do not share a target. Fronts no longer send `begun`, so that older arbiters are not misled either. Why it works: a part that crashes each target never has a complete answer, at whichever event it crashes.

--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -20,16 +20,10 @@
 	events  eventSplitter
 	// started is set once the header has been sent to the caller.
 	started bool
-	// onBegun is called when the target of the current attempt has begun its answer. It may be nil.
-	onBegun func()
 	// mayHaveRun is set when a target may have run the request but its answer was not complete.
 	mayHaveRun bool
 }
 
-// begunEvents is the number of events from which an answer counts as begun: a target may crash while it
-// sends the first one.
-const begunEvents = 2
-
 // streamStats counts and times the events of one streamed answer.
 type streamStats struct {
 	// events is the number of complete events. firstBatch is how many of them arrived together
@@ -146,7 +140,7 @@
 
 // write forwards the events that content completes.
 func (a *answer) write(response *http.Response, content []byte, m *streamStats) error {
-	before, isBegun := a.events.count, m.events >= begunEvents
+	before := a.events.count
 	complete, err := a.events.add(content)
 	if err != nil {
 		return fmt.Errorf("split events: %w", err)
@@ -161,9 +155,6 @@
 		m.firstAt = m.lastAt
 		m.firstBatch = m.events
 	}
-	if !isBegun && m.events >= begunEvents && a.onBegun != nil {
-		a.onBegun()
-	}
 	if _, err := a.writer.Write(complete); err != nil {
 		return fmt.Errorf("%w: write events: %w", errCallerDisconnected, err)
 	}
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -104,7 +104,6 @@
 			ticket.Finish(wire.Finish{})
 			return attemptFinal, s.unsentFailure(a, outcome.Refuse(outcome.PromptHeld, heldRetryAfter, "a part of the prompt crashes targets"))
 		}
-		a.onBegun = ticket.Begun
 		r.rateCounted = ticket.RateCounted()
 		target := s.findOpenTarget(r, name)
 		if target == nil {
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -82,7 +82,7 @@
 		Dispatched:     true,
 		Failed:         failed,
 		Completed:      err == nil && response.StatusCode < http.StatusMultipleChoices,
-		Begun:          err == nil || stats.events >= begunEvents,
+		Begun:          err == nil,
 		PromptTokens:   r.info.PromptTokens,
 		ConnectionKept: err == nil && !reply.Leaving && passthrough.Keep(response),
 	}
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -40,7 +40,7 @@
 	grantedAt time.Time
 	// rateCounted is true if the arbiter has counted the latest grant against a rate limit.
 	rateCounted bool
-	// watched is true if the arbiter wants to know when the answer begins.
+	// watched is true if the arbiter has granted the request although one of its prefixes may crash targets.
 	watched bool
 	// staleGrantReturned is set once a grant was returned because it arrived or was used too late.
 	staleGrantReturned bool
@@ -77,25 +77,13 @@
 	return t.rateCounted
 }
 
-// Watched reports whether the arbiter wants to know when the answer begins, because a prefix of the prompt
-// may crash targets.
+// Watched reports whether the arbiter has granted the request although one of its prefixes may crash targets.
 func (t *Ticket) Watched() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.watched
 }
 
-// Begun tells the arbiter that the answer to a watched request has begun.
-func (t *Ticket) Begun() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.phase != dispatched || !t.watched {
-		return
-	}
-	t.watched = false
-	t.link.send(wire.Up{Begun: &wire.Begun{ID: t.id, Pool: t.registration.Pool}})
-}
-
 // Preempted is closed when the arbiter cancels the request.
 func (t *Ticket) Preempted() <-chan struct{} { return t.preempt }
 
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -241,8 +241,6 @@
 		s.server.recordNotice(now, *message.Notice)
 	case message.Prefix != nil:
 		s.server.recordPrefix(now, *message.Prefix)
-	case message.Begun != nil:
-		s.server.worker(message.Begun.Pool).begun(now, s, message.Begun.ID)
 	case message.Left:
 		s.server.attachments.drop(s)
 		s.server.quotas.RemoveFront(s.host)
--- a/internal/peer/front/worker.go
+++ b/internal/peer/front/worker.go
@@ -179,15 +179,6 @@
 	w.applyDecisions(now, w.shard.Notice(now, n))
 }
 
-// begun records that the answer to a watched request has begun.
-func (w *worker) begun(now time.Time, s *Session, id wire.RequestID) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.sessions[id].session == s {
-		w.applyDecisions(now, w.shard.Begun(now, id))
-	}
-}
-
 // tick passes the time to the shard and reports whether requests are waiting.
 func (w *worker) tick(now time.Time) bool {
 	w.mu.Lock()
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -106,7 +106,8 @@
 	// Failed is true if the target ended the answer early, returned an error of its own or did not
 	// answer.
 	Failed bool `json:"failed,omitempty"`
-	// Begun is true if at least two events of the answer arrived, or all of it.
+	// Begun is true if the answer was complete. Earlier builds also set it if at least two events arrived, and
+	// their arbiters take it as a proof that no prefix of the prompt crashes targets.
 	Begun bool `json:"begun,omitempty"`
 	// Broken is true if neither a complete answer nor a complete error arrived.
 	Broken bool `json:"broken,omitempty"`
@@ -127,6 +128,9 @@
 	TotalUS int64 `json:"total-us,omitempty"`
 }
 
+// HasBegun reports whether a part of the answer arrived.
+func (f Finish) HasBegun() bool { return f.Begun || f.OutputTokens > 0 }
+
 // Withdraw removes a waiting request from the arbiter.
 type Withdraw struct {
 	ID   RequestID       `json:"id"`
@@ -220,12 +224,6 @@
 	NextCheckMS int64 `json:"next-check-ms,omitempty"`
 }
 
-// Begun notifies the arbiter that the answer to a request that it watches has begun.
-type Begun struct {
-	ID   RequestID       `json:"id"`
-	Pool object.PoolName `json:"pool"`
-}
-
 // Grant permits the front to dispatch a request to a target.
 type Grant struct {
 	Attempt int               `json:"attempt,omitempty"` // Of the registration.
@@ -238,7 +236,7 @@
 	// OthersUsed is how much of the quota of the account all other fronts have used in its last window,
 	// as far as the arbiter knows.
 	OthersUsed float64 `json:"others-used,omitempty"`
-	// Watch is true if the front must send Begun when the answer begins.
+	// Watch is true if a prefix of the request is suspect or held, and the arbiter grants it nevertheless.
 	Watch bool `json:"watch,omitempty"`
 }
 
@@ -265,9 +263,8 @@
 	Used     *Used     `json:"used,omitempty"`
 	// Notice is read as a heartbeat by builds that do not support it.
 	Notice *TargetNotice `json:"notice,omitempty"`
-	// Prefix and Begun are read as heartbeats by builds that do not support them.
+	// Prefix is read as a heartbeat by builds that do not support it.
 	Prefix *PrefixNotice `json:"prefix,omitempty"`
-	Begun  *Begun        `json:"begun,omitempty"`
 	// Left is true if new requests of the front go to another arbiter from now on.
 	Left bool `json:"left,omitempty"`
 }
--- a/internal/pool/quarantine/crash.go
+++ b/internal/pool/quarantine/crash.go
@@ -36,24 +36,23 @@
 // breakage is a group of broken connections to one target.
 type breakage struct {
 	at time.Time
-	// count is the number of broken connections, begun the number of those whose answers had begun.
-	count, begun int
-	// unbegun are the requests whose answers had not begun.
-	unbegun []Attempt
+	// broken are the requests on the connections. That an answer had begun does not excuse its request: a target may
+	// crash at any event.
+	broken []Attempt
 }
 
 // Ended records the end of a request at its target.
 func (t *Tracker) Ended(now time.Time, a Attempt) {
-	t.attempts.add(now, 1)
+	a.duration = now.Sub(a.GrantedAt)
+	t.exposure.served += a.duration
 	a.isolatedFor = t.isolatedFor(a)
-	if a.Begun {
-		t.Begun(now, a.ID, a.Prefixes, a.GrantedAt)
-	} else {
-		t.release(a.ID, a.Prefixes)
+	if a.End == Completed {
+		t.completed(now, a)
 	}
+	t.release(a.ID, a.Prefixes)
 	b := t.breaks[a.Target]
-	if !a.Broken {
-		if b != nil && a.Begun && now.Sub(b.at) >= refuteAfter {
+	if a.End != Broken {
+		if b != nil && a.End != Unknown && now.Sub(b.at) >= refuteAfter {
 			t.refute(now, a.Target)
 		}
 		return
@@ -62,15 +61,9 @@
 		b = &breakage{at: now}
 		t.breaks[a.Target] = b
 	}
-	b.count++
-	if a.Begun {
-		b.begun++
-	}
-	if !a.Begun {
-		b.unbegun = append(b.unbegun, a)
-		t.delayNext(now.Add(unconfirmedGap), a.Prefixes)
-	}
-	if a.LeftAtTarget == 0 && b.count >= minBroken {
+	b.broken = append(b.broken, a)
+	t.delayNext(now.Add(unconfirmedGap), a.Prefixes)
+	if a.LeftAtTarget == 0 && len(b.broken) >= minBroken {
 		t.confirm(now, a.Target)
 	}
 }
@@ -93,34 +86,38 @@
 	}
 }
 
-// confirm counts a crash of a target against the prefixes of the requests that it had not begun to answer. A crash
+// confirm counts a crash of a target against the prefixes of the requests that it broke. A crash
 // counts once against a prefix that is suspect: of two isolated requests, the later one was sent to a target that was
 // already gone.
 func (t *Tracker) confirm(now time.Time, target object.TargetName) {
 	b := t.breaks[target]
 	delete(t.breaks, target)
+	t.exposure.broken += len(b.broken)
+	// A request that ran as the only one with a suspect prefix explains the crash: those beside it are not blamed.
+	isExplained := slices.ContainsFunc(b.broken, func(a Attempt) bool { return len(a.isolatedFor) > 0 })
 	blamed := map[wire.PrefixHash]bool{}
-	for _, a := range b.unbegun {
-		if !t.IsSuspect(a.Prefixes) {
-			t.crashed.add(now, 1) // Those of suspect prefixes did not meet the crash by chance.
+	begun := 0
+	for _, a := range b.broken {
+		if a.Begun {
+			begun++
 		}
 		for _, prefix := range candidates(a.Prefixes) {
 			isIsolated := slices.Contains(a.isolatedFor, prefix)
-			if isIsolated && blamed[prefix] {
+			if isIsolated && blamed[prefix] || isExplained && !isIsolated {
 				continue
 			}
 			blamed[prefix] = blamed[prefix] || isIsolated
-			t.blame(now, prefix, a)
+			t.blame(now, prefix, a, len(b.broken))
 		}
 	}
-	t.crashes = append(t.crashes, Crash{Target: target, Broken: b.count, Begun: b.begun, Blamed: len(blamed)})
+	t.crashes = append(t.crashes, Crash{Target: target, Broken: len(b.broken), Begun: begun, Blamed: len(blamed)})
 }
 
 // refute drops the broken connections to a target that still runs.
 func (t *Tracker) refute(now time.Time, target object.TargetName) {
 	b := t.breaks[target]
 	delete(t.breaks, target)
-	for _, a := range b.unbegun {
+	for _, a := range b.broken {
 		t.delayNext(now, a.Prefixes)
 	}
 }
--- a/internal/pool/quarantine/evidence.go
+++ b/internal/pool/quarantine/evidence.go
@@ -8,8 +8,14 @@
 	"redwinglock/internal/peer/wire"
 )
 
-// blame counts a crash against a prefix of a request that had not begun.
-func (t *Tracker) blame(now time.Time, prefix wire.PrefixHash, a Attempt) {
+// exposure is the time that requests have spent at targets, and the number of them that crashes ended.
+type exposure struct {
+	served time.Duration
+	broken int
+}
+
+// blame counts a crash against a prefix of a request that it broke, one of several.
+func (t *Tracker) blame(now time.Time, prefix wire.PrefixHash, a Attempt, broken int) {
 	e := t.evidenceOf(prefix)
 	if e.state == wire.PrefixHeld {
 		e.crashes++
@@ -30,17 +36,20 @@
 	e.lastCrashAt, e.updatedAt = now, now
 	if isIsolated {
 		e.isolated++
+		e.own.broken += broken
+		e.own.served += a.duration
 		e.nextAt = now.Add(isolatedGap)
 	}
 	switch {
-	case isIsolated && t.isProven(now, e):
+	case isIsolated && t.isProven(e):
 		e.state, e.shareUnknown = wire.PrefixHeld, !t.isShareKnown(e)
 		e.scheduleCheck(now)
 		t.announce(now, prefix, e)
 	case isIsolated:
 		t.announce(now, prefix, e)
 	case e.crashes >= suspectCrashes:
-		e.state, e.isolated, e.suspectAt = wire.PrefixSuspect, 0, now
+		e.state, e.suspectAt = wire.PrefixSuspect, now
+		e.isolated, e.own, e.before = 0, exposure{}, t.exposure
 		t.announce(now, prefix, e)
 	}
 }
@@ -72,12 +81,23 @@
 }
 
 // isProven reports whether the isolated crashes of a prefix are too many to have met them by chance.
-func (t *Tracker) isProven(now time.Time, e *evidence) bool {
+func (t *Tracker) isProven(e *evidence) bool {
 	if len(e.requests)+e.learnedRequests < minRequests {
 		return false
 	}
-	byChance := max(t.crashed.value(now)-suspectCrashes, 0) / max(t.attempts.value(now), 1)
-	byChance = min(max(byChance, minCrashRate), maxCrashRate)
+	byChance := min(max(t.crashProbability(e), minCrashProbability), maxCrashProbability)
 	needed := int(math.Ceil(math.Log(maxErrorProbability) / math.Log(byChance)))
-	return e.isolated >= min(max(needed, minIsolated), maxIsolated)
+	return e.isolated >= max(needed, minIsolated)
+}
+
+// crashProbability returns the probability that a request meets a crash by chance in the time after which the
+// isolated requests of a prefix have crashed their targets. Crashes at which none of these requests ran tell it.
+func (t *Tracker) crashProbability(e *evidence) float64 {
+	others := t.exposure.broken - e.before.broken - e.own.broken
+	served := (t.exposure.served - e.before.served - e.own.served).Seconds()
+	if served <= 0 {
+		return 0
+	}
+	meanTime := e.own.served.Seconds() / float64(e.isolated)
+	return 1 - math.Exp(-float64(others)/served*meanTime)
 }
--- a/internal/pool/quarantine/notice.go
+++ b/internal/pool/quarantine/notice.go
@@ -48,7 +48,7 @@
 	learned := evidence{
 		state: n.State, version: n.Version, crashes: n.Crashes, isolated: n.Isolated, learnedRequests: n.Requests,
 		lastCrashAt: now, updatedAt: now, running: e.running, nextAt: e.nextAt, checks: n.Checks,
-		suspectAt: now, arrived: e.arrived, arrivedBefore: e.arrivedBefore, shareUnknown: n.ShareUnknown,
+		suspectAt: now, before: t.exposure, arrived: e.arrived, arrivedBefore: e.arrivedBefore, shareUnknown: n.ShareUnknown,
 	}
 	if n.NextCheckMS > 0 {
 		learned.nextCheckAt = now.Add(time.Duration(n.NextCheckMS) * time.Millisecond)
--- a/internal/pool/quarantine/notice_test.go
+++ b/internal/pool/quarantine/notice_test.go
@@ -71,7 +71,7 @@
 	for i := range 3 * maxPrefixes {
 		id := wire.RequestID(fmt.Sprint(i))
 		prefixes := []wire.PrefixHash{wire.PrefixHash(10 + i), wire.PrefixHash(1_000_000 + i)}
-		tracker.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: "t", Broken: true, LeftAtTarget: 1})
+		tracker.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: "t", End: Broken, LeftAtTarget: 1})
 		tracker.TargetEnded(now, "t")
 	}
 	for i := range maxPrefixes / 8 {
@@ -108,9 +108,9 @@
 func TestCrashIsToldFromLostAnswers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	attempt := func(id wire.RequestID, left int) Attempt {
-		return Attempt{ID: id, Prefixes: []wire.PrefixHash{1, 2}, Target: "t", Broken: true, LeftAtTarget: left}
+		return Attempt{ID: id, Prefixes: []wire.PrefixHash{1, 2}, Target: "t", End: Broken, LeftAtTarget: left}
 	}
-	answered := Attempt{ID: "ok", Prefixes: []wire.PrefixHash{5, 6}, Target: "t", Begun: true, LeftAtTarget: 1}
+	answered := Attempt{ID: "ok", Prefixes: []wire.PrefixHash{5, 6}, Target: "t", End: Completed, LeftAtTarget: 1}
 	rows := []struct {
 		name   string
 		events func(tr *Tracker)
--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -2,14 +2,13 @@
 // requests with such a prefix may still be granted. It does no I/O: the caller passes in events and the
 // current time.
 //
-// A prefix is observed once a target has crashed before it began its answer to a request with it. After
-// crashes at different times it is suspect: its requests run one at a time, until one of them begins an
-// answer, which clears the prefix, or enough of them have crashed their targets, too. Then it is held, and
-// its requests are refused.
+// A prefix is observed once a target has crashed while it ran a request with it. After crashes at different
+// times it is suspect: its requests run one at a time, until one of them is answered completely, which clears
+// the prefix, or enough of them have crashed their targets, too. Then it is held, and its requests are
+// refused.
 package quarantine
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -30,20 +29,19 @@
 	// minArrived requests.
 	maxShare   = 0.3
 	minArrived = 20
-	// minIsolated and maxIsolated bound the number of requests of a suspect prefix that must crash their
-	// targets, one after another, before the prefix is held.
-	minIsolated, maxIsolated = 3, 4
+	// minIsolated is the least number of requests of a suspect prefix that must crash their targets, one after
+	// another, before the prefix is held.
+	minIsolated = 3
 	// maxErrorProbability is the accepted probability that this many requests meet crashes by chance.
 	maxErrorProbability = 1e-3
-	// minCrashRate and maxCrashRate bound the estimated probability that a request meets a crash by chance.
-	minCrashRate, maxCrashRate = 0.01, 0.5
+	// minCrashProbability and maxCrashProbability bound the estimated probability that a request meets a crash by
+	// chance.
+	minCrashProbability, maxCrashProbability = 0.01, 0.5
 	// ambiguousDelay is the time for which requests with several suspect prefixes wait, so that requests with
 	// one of them tell first which one crashes targets.
 	ambiguousDelay = 700 * time.Millisecond
 	// isolatedGap is the time between two requests of a suspect prefix, so that targets can return.
 	isolatedGap = 150 * time.Millisecond
-	// crashRateTime is the time constant of the estimated probability.
-	crashRateTime = 5 * time.Second
 
 	// observedRetention is how long a prefix is remembered after its last crash if it was never held or
 	// cleared, heldRetention how long a held one after the last request with it, and a cleared one.
@@ -72,6 +70,9 @@
 	learnedRequests int
 	// isolated is the number of crashes by requests that ran as the only ones with the prefix.
 	isolated int
+	// own is what these requests, and those beside them, have met at this arbiter. before is what all requests had met
+	// when the prefix became suspect.
+	own, before exposure
 	// suspectAt is when the prefix became suspect.
 	suspectAt time.Time
 	// arrived is the number of requests with the prefix, and arrivedBefore that of all requests of the pool
@@ -91,16 +92,33 @@
 	updatedAt time.Time
 }
 
+// End is how a request has ended at its target.
+type End int
+
+// The ends of requests. Only a completed answer proves that no prefix of the request crashes targets.
+const (
+	// Unknown means that the host or the caller ended the request.
+	Unknown End = iota
+	// Failed means that the target answered with an error.
+	Failed
+	Completed
+	// Broken means that the connection ended before the answer did.
+	Broken
+)
+
 // Attempt is a granted request that has ended at its target.
 type Attempt struct {
 	ID        wire.RequestID
 	Prefixes  []wire.PrefixHash
 	Target    object.TargetName
 	GrantedAt time.Time
-	// Begun is set if the answer had begun. Broken is set if the connection ended before the answer did.
-	Begun, Broken bool
+	End       End
+	// Begun is set if a part of the answer had arrived.
+	Begun bool
 	// LeftAtTarget is the number of requests that are still granted to the target.
 	LeftAtTarget int
+	// duration is the time from the grant to the end.
+	duration time.Duration
 	// isolatedFor are the prefixes for which the request ran as the only one.
 	isolatedFor []wire.PrefixHash
 }
@@ -111,9 +129,8 @@
 	prefixes map[wire.PrefixHash]*evidence
 	// breaks holds the broken connections to each target until it is known whether the target crashed.
 	breaks map[object.TargetName]*breakage
-	// attempts and crashed count ended requests, and those without a suspect prefix that a crash ended before
-	// they had begun.
-	attempts, crashed decayingCount
+	// exposure is what all requests have met at targets.
+	exposure exposure
 	// arrived is the number of requests of the pool.
 	arrived   int
 	notices   []wire.PrefixNotice
@@ -240,7 +257,7 @@
 	return isolating <= 1 || mayBeAmbiguous
 }
 
-// Granted records that a request is granted. It reports whether the front must tell when its answer begins.
+// Granted records that a request is granted. It reports whether it has a suspect or held prefix.
 func (t *Tracker) Granted(now time.Time, id wire.RequestID, prefixes []wire.PrefixHash) bool {
 	if len(t.prefixes) == 0 {
 		return false
@@ -271,16 +288,15 @@
 	}
 }
 
-// Begun records that the answer to a request has begun, so that none of its prefixes crashes targets. A
+// completed clears the prefixes of a request that was answered completely: none of them crashes targets. A
 // request that was granted before a prefix became suspect is no proof for it: it may have begun long ago.
-func (t *Tracker) Begun(now time.Time, id wire.RequestID, prefixes []wire.PrefixHash, grantedAt time.Time) {
-	for _, prefix := range candidates(prefixes) {
+func (t *Tracker) completed(now time.Time, a Attempt) {
+	for _, prefix := range candidates(a.Prefixes) {
 		e := t.prefixes[prefix]
-		if e != nil && (!e.isolates() || e.running == id || !grantedAt.Before(e.suspectAt)) {
+		if e != nil && (!e.isolates() || e.running == a.ID || !a.GrantedAt.Before(e.suspectAt)) {
 			t.clear(now, prefix)
 		}
 	}
-	t.release(id, prefixes)
 }
 
 // Withdrawn records that a granted request has ended in an unknown way.
@@ -337,18 +353,3 @@
 	}
 	return observedRetention
 }
-
-// decayingCount counts events, of which older ones count less.
-type decayingCount struct {
-	count float64
-	at    time.Time
-}
-
-func (c *decayingCount) value(now time.Time) float64 {
-	return c.count * math.Exp(-now.Sub(c.at).Seconds()/crashRateTime.Seconds())
-}
-
-func (c *decayingCount) add(now time.Time, n int) {
-	c.count = c.value(now) + float64(n)
-	c.at = now
-}
--- a/internal/pool/quarantine/tracker_test.go
+++ b/internal/pool/quarantine/tracker_test.go
@@ -20,7 +20,7 @@
 	t.Arrived(prefixes)
 	id, target := wire.RequestID(fmt.Sprint(number)), object.TargetName(fmt.Sprint("t-", number))
 	t.Granted(now, id, prefixes)
-	t.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: target, GrantedAt: now, Broken: true})
+	t.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: target, GrantedAt: now, End: Broken})
 	t.TargetEnded(now, target)
 }
 
@@ -93,7 +93,7 @@
 		tracker.Arrived(prefixes)
 		require.True(t, tracker.MayGrant(now, prefixes))
 		tracker.Granted(now, id, prefixes)
-		tracker.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: "t", GrantedAt: now, Broken: true})
+		tracker.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: "t", GrantedAt: now, End: Broken})
 	}
 	notices := tracker.TakeNotices()
 	require.Len(t, notices, 1)
@@ -117,7 +117,7 @@
 	require.False(t, tracker.MayGrant(now, both), "a crash would not tell which prefix caused it")
 	require.True(t, tracker.MayGrant(now, sound))
 	tracker.Granted(now, "sound", sound)
-	tracker.Begun(now, "sound", sound, now)
+	tracker.Ended(now, Attempt{ID: "sound", Prefixes: sound, Target: "t", GrantedAt: now, End: Completed})
 	require.False(t, tracker.IsSuspect(sound))
 	require.True(t, tracker.MayGrant(now, both))
 	require.True(t, tracker.MayGrant(now.Add(ambiguousDelay), both))
@@ -127,7 +127,7 @@
 // began.
 func TestAnswerFromBeforeTheCrashesIsNoProof(t *testing.T) {
 	now := time.Unix(1000, 0)
-	long := Attempt{ID: "long", Prefixes: []wire.PrefixHash{7, 99}, Target: "t", GrantedAt: now, Begun: true, LeftAtTarget: 1}
+	long := Attempt{ID: "long", Prefixes: []wire.PrefixHash{7, 99}, Target: "t", GrantedAt: now, End: Completed, LeftAtTarget: 1}
 	tracker := New(testPool)
 	for i := range 8 {
 		now = now.Add(time.Second)
--- a/internal/pool/shard/connections.go
+++ b/internal/pool/shard/connections.go
@@ -120,7 +120,7 @@
 	var best *target
 	for _, r := range s.connections.of(now, q.Front) {
 		t := s.targets[r.target]
-		if t == nil || t.readyIndex == notInHeap || !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
+		if t == nil || t.readyIndex == notInHeap || !s.mayServe(t, side) || q.avoids(t) {
 			continue
 		}
 		if t == otherwise {
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -25,7 +25,7 @@
 	RateCounted bool
 	// OthersUsed is the usage of the account's quota by all other fronts in its last window.
 	OthersUsed float64
-	// Watch is set if the front must tell when the answer begins.
+	// Watch is set if a prefix of the request is suspect or held.
 	Watch bool
 }
 
--- a/internal/pool/shard/isolate.go
+++ b/internal/pool/shard/isolate.go
@@ -20,6 +20,14 @@
 	s.isolated = append(s.isolated, q)
 }
 
+// waitsForSuspects reports whether a free target is closed to a request only because another request with a suspect
+// prefix runs there.
+func (s *Shard) waitsForSuspects(q *request) bool {
+	return q.suspect && slices.ContainsFunc(s.ready.all(), func(t *target) bool {
+		return t.suspects > 0 && !slices.Contains(q.Avoid, t.name)
+	})
+}
+
 // releaseIsolated puts the isolated requests that may run now back into their queues, and refuses those
 // whose prefix is held now.
 func (s *Shard) releaseIsolated(now time.Time) {
@@ -72,16 +80,21 @@
 	}
 	s.quarantine.Ended(now, quarantine.Attempt{
 		ID: q.ID, Prefixes: q.Prefixes, Target: t.name, GrantedAt: q.grantedAt,
-		Begun: f.Begun || f.Completed, Broken: f.Broken && f.Failed, LeftAtTarget: t.inFlight,
+		End: endOf(f), Begun: f.HasBegun(), LeftAtTarget: t.inFlight,
 	})
 }
 
-// Begun records that the answer to a watched request has begun.
-func (s *Shard) Begun(now time.Time, id wire.RequestID) []Decision {
-	if q := s.requests[id]; q != nil && q.target != nil {
-		s.quarantine.Begun(now, id, q.Prefixes, q.grantedAt)
+// endOf returns how a dispatched request has ended at its target.
+func endOf(f wire.Finish) quarantine.End {
+	switch {
+	case f.Completed:
+		return quarantine.Completed
+	case f.Failed && f.Broken:
+		return quarantine.Broken
+	case f.Failed && f.Begun:
+		return quarantine.Failed
 	}
-	return s.step(now)
+	return quarantine.Unknown
 }
 
 // LearnPrefix applies what another host knows about a prefix.
--- a/internal/pool/shard/placement.go
+++ b/internal/pool/shard/placement.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
 	"redwinglock/internal/pool/trial"
@@ -35,7 +34,7 @@
 		matchedFraction := float64(i+1) / float64(len(q.Prefixes))
 		var best *target
 		for _, holder := range s.prefixes.holders(q.Prefixes[i]) {
-			if !s.mayServe(holder, side) || slices.Contains(q.Avoid, holder.name) || holder.tooSlow(now, q) || !s.startsInTime(now, q, holder) {
+			if !s.mayServe(holder, side) || q.avoids(holder) || holder.tooSlow(now, q) || !s.startsInTime(now, q, holder) {
 				continue
 			}
 			if holder.readyIndex != notInHeap && (best == nil || holder.load() < best.load()) {
@@ -55,7 +54,7 @@
 func (s *Shard) leastLoaded(now time.Time, q *request, side trial.Side) *target {
 	var best, sameZone, fastest *target
 	for _, t := range s.ready.all() {
-		if !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
+		if !s.mayServe(t, side) || q.avoids(t) {
 			continue
 		}
 		if t.tooSlow(now, q) || !s.startsInTime(now, q, t) {
--- a/internal/pool/shard/promptcache.go
+++ b/internal/pool/shard/promptcache.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"slices"
 	"time"
 
 	"redwinglock/internal/peer/wire"
@@ -156,7 +155,7 @@
 	switch {
 	case f.Unreachable:
 		t.cache.clear()
-	case !f.Begun && !f.Completed:
+	case !f.HasBegun() && !f.Completed:
 		t.forgetNewParts(q)
 	}
 }
@@ -197,7 +196,7 @@
 	cachedAnyway := otherwise.cachedTokens(q)
 	best, bestGain := otherwise, minCacheGain
 	for _, t := range s.ready.all() {
-		if t.cachedTokens(q) <= cachedAnyway || t.isShared(q) || !s.mayServe(t, side) || slices.Contains(q.Avoid, t.name) {
+		if t.cachedTokens(q) <= cachedAnyway || t.isShared(q) || !s.mayServe(t, side) || q.avoids(t) {
 			continue
 		}
 		gain := s.cacheGain(now, q, t, otherwise)
--- a/internal/pool/shard/quarantine_test.go
+++ b/internal/pool/shard/quarantine_test.go
@@ -31,6 +31,9 @@
 	// lostShare is the part of the answers that are lost while the target keeps running.
 	lostShare float64
 	twoParts  bool
+	// crashAge is the time from sending a poison request to the crash, whole that from sending to the end of a sound
+	// answer.
+	crashAge, whole time.Duration
 
 	running map[wire.RequestID]*replayRequest
 	downAt  map[object.TargetName]time.Time
@@ -57,7 +60,6 @@
 	sentAt        time.Time
 	attempt       int
 	registrations int
-	watch         bool
 }
 
 const (
@@ -81,6 +83,7 @@
 		running: map[wire.RequestID]*replayRequest{}, downAt: map[object.TargetName]time.Time{}, started: map[object.TargetName]int64{},
 		poisonSent: map[wire.PrefixHash][]time.Time{}, crashedAt: map[wire.PrefixHash][]time.Time{},
 		held: map[wire.PrefixHash]bool{}, suspected: map[wire.PrefixHash]bool{}, refused: map[outcome.Reason]int{},
+		crashAge: replayFirst, whole: replayWhole,
 	}
 }
 
@@ -151,7 +154,7 @@
 
 func (r *crashReplay) send(g Grant) {
 	q := r.running[g.ID]
-	q.target, q.sentAt, q.watch = g.Target, r.b.now, g.Watch
+	q.target, q.sentAt = g.Target, r.b.now
 	if r.isDown(g.Target) {
 		q.target = ""
 		r.apply(r.b.shard.Finish(r.b.now, wire.Finish{ID: g.ID, Pool: testPool, Unreachable: true}))
@@ -176,7 +179,7 @@
 	}
 	age := r.b.now.Sub(q.sentAt)
 	switch {
-	case q.poison != 0 && age >= replayFirst:
+	case q.poison != 0 && age >= r.crashAge:
 		r.crashedAt[q.poison] = append(r.crashedAt[q.poison], r.b.now)
 		r.crash(q.target)
 	case !q.isBegun && age >= replayFirst && r.random.Float64() < r.lostShare:
@@ -184,16 +187,13 @@
 	case !q.isBegun && age >= replayFirst:
 		q.isBegun = true
 		r.begun++
-		if q.watch {
-			r.apply(r.b.shard.Begun(r.b.now, id))
-		}
-	case age >= replayWhole:
+	case age >= r.whole:
 		delete(r.running, id)
 		r.apply(r.b.shard.Finish(r.b.now, wire.Finish{ID: id, Pool: testPool, Dispatched: true, Completed: true, Begun: true}))
 	}
 }
 
-// crash ends a target and all answers of its requests. Those whose answers had not begun are sent again.
+// crash ends a target and all answers of its requests. They are sent again, as streams that can be resumed are.
 func (r *crashReplay) crash(target object.TargetName) {
 	r.downAt[target] = r.b.now
 	for _, id := range slices.Sorted(maps.Keys(r.running)) {
@@ -206,7 +206,7 @@
 func (r *crashReplay) lose(id wire.RequestID, q *replayRequest) {
 	delete(r.running, id)
 	r.apply(r.b.shard.Finish(r.b.now, wire.Finish{ID: id, Pool: testPool, Dispatched: true, Failed: true, Broken: true, Begun: q.isBegun}))
-	if !q.isBegun && q.attempt < 2 {
+	if q.attempt < 2 {
 		r.register(&replayRequest{prefixes: q.prefixes, poison: q.poison, attempt: q.attempt + 1, registrations: q.registrations})
 	}
 }
@@ -267,8 +267,51 @@
 	}
 }
 
-// TestOrdinaryFaultsHoldNoPrefix replays crashes and lost answers that no prefix causes.
+// TestPrefixThatCrashesTargetsLateIsHeld guards against a prefix that is never held because each target crashes after
+// its answer has begun: a beginning was taken as proof that no prefix of the prompt crashes targets (review/6).
+func TestPrefixThatCrashesTargetsLateIsHeld(t *testing.T) {
+	rows := []struct {
+		name            string
+		crashAge, whole time.Duration
+	}{
+		{"before the first event", replayFirst / 2, replayWhole},
+		{"just after the beginning", replayFirst + 2*replayStep, replayWhole},
+		{"in the middle", replayWhole / 2, replayWhole},
+		{"before the last event", replayWhole - 2*replayStep, replayWhole},
+		{"early in long answers", 2 * replayFirst, 3 * time.Second},
+		{"in the middle of long answers", time.Second, 2 * time.Second},
+	}
+	for _, row := range rows {
+		for seed := range uint64(replaySeeds) {
+			t.Run(fmt.Sprintf("%s/seed=%d", row.name, seed), func(t *testing.T) {
+				r := newCrashReplay(t, seed)
+				r.perSecond, r.crashAge, r.whole = 20, row.crashAge, row.whole
+				r.play(4 * time.Second)
+				r.poisonShare = 0.05
+				r.play(30 * time.Second)
+				require.LessOrEqual(t, r.sentAfterContact(poisonPrefix), replayAllowance, "%d crashes", len(r.crashedAt[poisonPrefix]))
+				for prefix, held := range r.held {
+					require.Equal(t, prefix == poisonPrefix, held, "prefix %d", prefix)
+				}
+				begun, sound := r.begun, r.sound
+				r.play(6 * time.Second)
+				require.Greater(t, float64(r.begun-begun), 0.8*float64(r.sound-sound), "sound requests run")
+			})
+		}
+	}
+}
+
+// TestOrdinaryFaultsHoldNoPrefix replays crashes and lost answers that no prefix causes, with short and with long
+// answers. The longer an answer, the more often a crash breaks it by chance.
 func TestOrdinaryFaultsHoldNoPrefix(t *testing.T) {
+	answers := []struct {
+		name  string
+		rate  float64
+		whole time.Duration
+	}{
+		{"short answers", 95, replayWhole},
+		{"long answers", 20, 3 * time.Second},
+	}
 	rows := []struct {
 		name  string
 		fault func(r *crashReplay)
@@ -289,6 +332,12 @@
 				r.play(700 * time.Millisecond)
 			}
 		}},
+		{"targets crash again and again", func(r *crashReplay) {
+			for range 40 {
+				r.crash(targetName(r.random.IntN(replayTargets)))
+				r.play(300 * time.Millisecond)
+			}
+		}},
 		{"answers are lost", func(r *crashReplay) {
 			r.lostShare = 0.4
 			r.play(8 * time.Second)
@@ -296,17 +345,20 @@
 		}},
 	}
 	for _, row := range rows {
-		for seed := range uint64(replaySeeds) {
-			t.Run(fmt.Sprintf("%s/seed=%d", row.name, seed), func(t *testing.T) {
-				r := newCrashReplay(t, seed)
-				r.play(2 * time.Second)
-				row.fault(r)
-				r.play(10 * time.Second)
-				for prefix, held := range r.held {
-					require.False(t, held, "prefix %d", prefix)
-				}
-				require.Zero(t, r.refused[outcome.PromptHeld])
-			})
+		for _, answer := range answers {
+			for seed := range uint64(replaySeeds) {
+				t.Run(fmt.Sprintf("%s/%s/seed=%d", row.name, answer.name, seed), func(t *testing.T) {
+					r := newCrashReplay(t, seed)
+					r.perSecond, r.whole = answer.rate, answer.whole
+					r.play(2 * time.Second)
+					row.fault(r)
+					r.play(10 * time.Second)
+					for prefix, held := range r.held {
+						require.False(t, held, "prefix %d", prefix)
+					}
+					require.Zero(t, r.refused[outcome.PromptHeld])
+				})
+			}
 		}
 	}
 }
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -47,6 +47,8 @@
 	busierForCache bool
 	// isolated is set while the request waits outside of the queues because of a suspect prefix.
 	isolated bool
+	// suspect is set if a prefix of the request was suspect or held when a target was last sought for it.
+	suspect bool
 	// deferred is set while the request waits outside of the queues for a larger share of its quota.
 	deferred bool
 
@@ -132,13 +134,26 @@
 	}
 	t.holdPrompt(q)
 	t.addRequest(q.estimatedTokens)
+	if q.suspect {
+		t.suspects++
+	}
 	s.updateReady(t)
 }
 
+// avoids reports whether the request must not run at a target. Two requests with suspect prefixes never share one: a
+// crash would not tell which of them caused it.
+func (q *request) avoids(t *target) bool {
+	return slices.Contains(q.Avoid, t.name) || q.suspect && t.suspects > 0
+}
+
 func (s *Shard) stopRunning(q *request) {
 	t := q.target
 	t.removeRequest(q.estimatedTokens)
 	t.cache.release(q.Prefixes)
+	if q.suspect {
+		t.suspects--
+		q.suspect = false
+	}
 	q.tier.removeRunning(q)
 	q.target = nil
 	q.canceled = false
--- a/internal/pool/shard/rollout.go
+++ b/internal/pool/shard/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math"
-	"slices"
 	"time"
 
 	"redwinglock/internal/peer/wire"
@@ -120,7 +119,7 @@
 	typicalLoad := s.typicalLoad()
 	var best *target
 	for _, t := range s.ready.all() {
-		if s.rollout.sideOf(t) != trial.NewVersion || slices.Contains(q.Avoid, t.name) {
+		if s.rollout.sideOf(t) != trial.NewVersion || q.avoids(t) {
 			continue
 		}
 		if best == nil || trialSortKey(now, t, typicalLoad) < trialSortKey(now, best, typicalLoad) {
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -42,10 +42,15 @@
 			s.isolate(q)
 			continue
 		}
+		q.suspect = s.quarantine.IsSuspect(q.Prefixes)
 		t := s.place(now, q)
 		if t == nil {
 			s.countHeldBack(q)
 		}
+		if t == nil && s.waitsForSuspects(q) {
+			s.isolate(q) // Other requests may use the free slots.
+			continue
+		}
 		if t == nil && s.avoidedReady(q) {
 			s.refuse(now, q, outcome.NoTarget) // The request must avoid all free targets.
 			continue
--- a/internal/pool/shard/target.go
+++ b/internal/pool/shard/target.go
@@ -77,8 +77,10 @@
 	// deviation.
 	excessErrorRate float64
 
-	limit            float64
-	inFlight         int
+	limit    float64
+	inFlight int
+	// suspects is the number of running requests with a suspect prefix.
+	suspects         int
 	tokens           int64
 	limitDecreasedAt time.Time
 
