host: a stop logs what its requests may wait for

The log said only how many were in flight. Three explanations could not be told apart: they wait for a host that has not joined; for a configuration; or for the rest of their bodies. "Stop began" and "Limit of the stop reached" now say how many wait for the start, whether the host has joined and has a configuration, and how many hosts it sees. No logic has changed.

--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -241,7 +241,7 @@
 // stop shuts the host down gracefully. It withdraws the address and hands the pools over, serves
 // callers that still use the address for some time, then waits for the requests in flight.
 func (h *gatewayHost) stop(ctx context.Context) error {
-	h.log.WithField("in-flight", h.Gateway.Active()).Info("Stop began.")
+	h.log.WithFields(h.requestFields()).Info("Stop began.")
 	clock := newStopClock(sinceBoot)
 	settings := h.Common.Settings
 	totalLimit := settings.Gateway.StopServe + settings.Stop.Limit
@@ -281,7 +281,7 @@
 // answered by then are closed without an error.
 func (h *gatewayHost) shutdownCallers(ctx context.Context) error {
 	defer context.AfterFunc(ctx, func() {
-		h.log.WithField("in-flight", h.Gateway.Active()).Info("Limit of the stop reached: the connections that are left are closed.")
+		h.log.WithFields(h.requestFields()).Info("Limit of the stop reached: the connections that are left are closed.")
 	})()
 	err := h.callerListener.shutdown(ctx)
 	if errors.Is(err, context.Canceled) && h.Gateway.Active() == 0 {
@@ -290,6 +290,14 @@
 	return err
 }
 
+// requestFields returns what the log says of the requests in flight and of what they may wait for.
+func (h *gatewayHost) requestFields() logrus.Fields {
+	return logrus.Fields{
+		"in-flight": h.Gateway.Active(), "awaiting-start": h.Gateway.AwaitingStart(), "joined": h.Board.HasJoined(),
+		"configured": h.Board.Config() != nil, "live": len(h.Board.Members().Live),
+	}
+}
+
 // closeOtherListeners closes the listeners for peers and the platform in parallel.
 func (h *gatewayHost) closeOtherListeners(ctx context.Context) error {
 	// The streams of peers do not end by themselves.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -71,6 +71,8 @@
 	stop     stopState
 	active   sync.WaitGroup
 	inFlight atomic.Int64
+	// awaitingStart is the number of requests that wait until this host has started.
+	awaitingStart atomic.Int64
 }
 
 // New creates a server.
@@ -188,8 +190,7 @@
 	if s.closed.Load() {
 		return outcome.Refuse(outcome.HostStopping, stoppingRetryAfter, "this host is stopping")
 	}
-	s.awaitJoin(c.Request.Context())
-	s.arbiters.AwaitStart(c.Request.Context())
+	s.awaitStart(c.Request.Context())
 	r.snapshot = s.board.Config()
 	if r.snapshot == nil {
 		return outcome.Refuse(outcome.NoConfiguration, noConfigurationRetryAfter, "this host has no configuration yet")
@@ -248,6 +249,17 @@
 	}
 }
 
+// awaitStart delays a request until this host may register it with an arbiter.
+func (s *Server) awaitStart(ctx context.Context) {
+	s.awaitingStart.Add(1)
+	defer s.awaitingStart.Add(-1)
+	s.awaitJoin(ctx)
+	s.arbiters.AwaitStart(ctx)
+}
+
+// AwaitingStart returns the number of requests that wait until this host may register them with an arbiter.
+func (s *Server) AwaitingStart() int64 { return s.awaitingStart.Load() }
+
 // hostName removes a port from the Host header.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
