quarantine: a crash that is confirmed before all of its requests have ended stays one crash

Evidence: two lines "Target crashed." for one target, broken 1 and broken 6; parts of sound requests suspect for 5 to 17 s each, with two requests that waited. Change: a confirmed crash takes in what ends later; a request that still runs alone with a suspect part explains it. What chance explains is now the probability of so many crashes so soon (Irwin-Hall), from the crashes without such requests.

--- a/internal/pool/quarantine/crash.go
+++ b/internal/pool/quarantine/crash.go
@@ -39,6 +39,9 @@
 	// broken are the requests on the connections. That an answer had begun does not excuse its request: a target may
 	// crash at any event.
 	broken []Attempt
+	// isConfirmed is set once the group is known to be a crash, isExplained if a request that ran as the only one with a
+	// suspect prefix was among it. Those beside it are not blamed then.
+	isConfirmed, isExplained bool
 }
 
 // Ended records the end of a request at its target.
@@ -52,16 +55,20 @@
 	t.release(a.ID, a.Prefixes)
 	b := t.breaks[a.Target]
 	if a.End != Broken {
-		if b != nil && a.End != Unknown && now.Sub(b.at) >= refuteAfter {
+		if b != nil && !b.isConfirmed && a.End != Unknown && now.Sub(b.at) >= refuteAfter {
 			t.refute(now, a.Target)
 		}
 		return
 	}
-	if b == nil || now.Sub(b.at) > confirmWithin {
+	if b == nil || now.Sub(b.at) > confirmWithin || b.isConfirmed && !a.GrantedAt.Before(b.at) {
 		b = &breakage{at: now}
 		t.breaks[a.Target] = b
 	}
 	b.broken = append(b.broken, a)
+	if b.isConfirmed {
+		t.count(now, b, a) // Of a crash that was confirmed by another sign before all of its requests had ended.
+		return
+	}
 	t.delayNext(now.Add(unconfirmedGap), a.Prefixes)
 	if a.LeftAtTarget == 0 && len(b.broken) >= minBroken {
 		t.confirm(now, a.Target)
@@ -81,36 +88,55 @@
 
 // TargetEnded records a sign that a target has ended: it cannot be reached, has restarted or is gone.
 func (t *Tracker) TargetEnded(now time.Time, target object.TargetName) {
-	if b := t.breaks[target]; b != nil && now.Sub(b.at) <= confirmWithin {
+	if b := t.breaks[target]; b != nil && !b.isConfirmed && now.Sub(b.at) <= confirmWithin {
 		t.confirm(now, target)
 	}
 }
 
-// confirm counts a crash of a target against the prefixes of the requests that it broke. A crash
-// counts once against a prefix that is suspect: of two isolated requests, the later one was sent to a target that was
-// already gone.
+// confirm counts a crash of a target against the prefixes of the requests that it broke.
 func (t *Tracker) confirm(now time.Time, target object.TargetName) {
 	b := t.breaks[target]
-	delete(t.breaks, target)
-	t.exposure.broken += len(b.broken)
-	// A request that ran as the only one with a suspect prefix explains the crash: those beside it are not blamed.
-	isExplained := slices.ContainsFunc(b.broken, func(a Attempt) bool { return len(a.isolatedFor) > 0 })
-	blamed := map[wire.PrefixHash]bool{}
-	begun := 0
+	b.isConfirmed = true
+	_, isExplained := t.isolatedAt[target] // Its own end is not reported yet.
+	b.isExplained = isExplained || slices.ContainsFunc(b.broken, func(a Attempt) bool { return len(a.isolatedFor) > 0 })
+	c := Crash{Target: target, Broken: len(b.broken)}
 	for _, a := range b.broken {
 		if a.Begun {
-			begun++
+			c.Begun++
+		}
+		c.Blamed += t.count(now, b, a)
+	}
+	t.crashes = append(t.crashes, c)
+}
+
+// count counts a crash against the prefixes of one request that it broke, and returns against how many. A crash counts
+// once against a prefix that is suspect: of two isolated requests, the later one was sent to a target that was already
+// gone.
+func (t *Tracker) count(now time.Time, b *breakage, a Attempt) int {
+	t.exposure.broken++
+	blamed := 0
+	for _, prefix := range candidates(a.Prefixes) {
+		isIsolated := slices.Contains(a.isolatedFor, prefix)
+		if isIsolated && b.hasCounted(prefix, a.ID) || b.isExplained && !isIsolated {
+			continue
+		}
+		blamed++
+		t.blame(now, prefix, a, len(b.broken))
+	}
+	return blamed
+}
+
+// hasCounted reports whether an earlier isolated request of the group has the prefix.
+func (b *breakage) hasCounted(prefix wire.PrefixHash, id wire.RequestID) bool {
+	for _, a := range b.broken {
+		if a.ID == id {
+			return false
 		}
-		for _, prefix := range candidates(a.Prefixes) {
-			isIsolated := slices.Contains(a.isolatedFor, prefix)
-			if isIsolated && blamed[prefix] || isExplained && !isIsolated {
-				continue
-			}
-			blamed[prefix] = blamed[prefix] || isIsolated
-			t.blame(now, prefix, a, len(b.broken))
+		if slices.Contains(a.isolatedFor, prefix) {
+			return true
 		}
 	}
-	t.crashes = append(t.crashes, Crash{Target: target, Broken: len(b.broken), Begun: begun, Blamed: len(blamed)})
+	return false
 }
 
 // refute drops the broken connections to a target that still runs.
--- a/internal/pool/quarantine/evidence.go
+++ b/internal/pool/quarantine/evidence.go
@@ -8,12 +8,17 @@
 	"redwinglock/internal/peer/wire"
 )
 
-// exposure is the time that requests have spent at targets, and the number of them that crashes ended.
+// exposure is the time that requests have spent at targets, and the number of them that crashes have ended.
 type exposure struct {
 	served time.Duration
 	broken int
 }
 
+// minus returns the exposure without a part of it.
+func (x exposure) minus(part exposure) exposure {
+	return exposure{x.served - part.served, x.broken - part.broken}
+}
+
 // blame counts a crash against a prefix of a request that it broke, one of several.
 func (t *Tracker) blame(now time.Time, prefix wire.PrefixHash, a Attempt, broken int) {
 	e := t.evidenceOf(prefix)
@@ -85,19 +90,29 @@
 	if len(e.requests)+e.learnedRequests < minRequests {
 		return false
 	}
-	byChance := min(max(t.crashProbability(e), minCrashProbability), maxCrashProbability)
-	needed := int(math.Ceil(math.Log(maxErrorProbability) / math.Log(byChance)))
-	return e.isolated >= max(needed, minIsolated)
+	if e.isolated < minIsolated {
+		return false
+	}
+	return chanceOf(e.isolated, e.crashProbability(t.exposure.minus(e.before).minus(e.own))) <= maxErrorProbability
 }
 
-// crashProbability returns the probability that a request meets a crash by chance in the time after which the
-// isolated requests of a prefix have crashed their targets. Crashes at which none of these requests ran tell it.
-func (t *Tracker) crashProbability(e *evidence) float64 {
-	others := t.exposure.broken - e.before.broken - e.own.broken
-	served := (t.exposure.served - e.before.served - e.own.served).Seconds()
-	if served <= 0 {
+// crashProbability returns the probability that a request meets a crash by chance in the mean time after which the
+// isolated requests of a prefix have crashed their targets. The crashes at which none of these ran tell it.
+func (e *evidence) crashProbability(others exposure) float64 {
+	if others.served <= 0 {
 		return 0
 	}
+	crashesPerSecond := float64(others.broken) / others.served.Seconds()
 	meanTime := e.own.served.Seconds() / float64(e.isolated)
-	return 1 - math.Exp(-float64(others)/served*meanTime)
+	return 1 - math.Exp(-crashesPerSecond*meanTime)
+}
+
+// chanceOf returns the probability that n requests in a row meet crashes by chance, on average so soon that one request
+// does with the given probability: that of a sum of n uniform variables (Irwin-Hall), for small sums.
+func chanceOf(n int, probability float64) float64 {
+	chance := 1.0
+	for i := range n {
+		chance *= float64(n) * probability / float64(i+1)
+	}
+	return chance
 }
--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -9,6 +9,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,11 +33,8 @@
 	// minIsolated is the least number of requests of a suspect prefix that must crash their targets, one after
 	// another, before the prefix is held.
 	minIsolated = 3
-	// maxErrorProbability is the accepted probability that this many requests meet crashes by chance.
+	// maxErrorProbability is the accepted probability that so many requests meet crashes so soon by chance.
 	maxErrorProbability = 1e-3
-	// minCrashProbability and maxCrashProbability bound the estimated probability that a request meets a crash by
-	// chance.
-	minCrashProbability, maxCrashProbability = 0.01, 0.5
 	// ambiguousDelay is the time for which requests with several suspect prefixes wait, so that requests with
 	// one of them tell first which one crashes targets.
 	ambiguousDelay = 700 * time.Millisecond
@@ -129,6 +127,8 @@
 	prefixes map[wire.PrefixHash]*evidence
 	// breaks holds the broken connections to each target until it is known whether the target crashed.
 	breaks map[object.TargetName]*breakage
+	// isolatedAt holds the running request with a suspect prefix at each target that has one.
+	isolatedAt map[object.TargetName]wire.RequestID
 	// exposure is what all requests have met at targets.
 	exposure exposure
 	// arrived is the number of requests of the pool.
@@ -140,7 +140,10 @@
 
 // New creates a tracker without evidence.
 func New(pool object.PoolName) *Tracker {
-	return &Tracker{pool: pool, prefixes: map[wire.PrefixHash]*evidence{}, breaks: map[object.TargetName]*breakage{}}
+	return &Tracker{
+		pool: pool, prefixes: map[wire.PrefixHash]*evidence{}, breaks: map[object.TargetName]*breakage{},
+		isolatedAt: map[object.TargetName]wire.RequestID{},
+	}
 }
 
 // candidates returns the prefixes of a request that it may share with others. The last one belongs to the
@@ -258,7 +261,7 @@
 }
 
 // Granted records that a request is granted. It reports whether it has a suspect or held prefix.
-func (t *Tracker) Granted(now time.Time, id wire.RequestID, prefixes []wire.PrefixHash) bool {
+func (t *Tracker) Granted(now time.Time, id wire.RequestID, prefixes []wire.PrefixHash, target object.TargetName) bool {
 	if len(t.prefixes) == 0 {
 		return false
 	}
@@ -270,6 +273,7 @@
 		}
 		watched = true
 		e.running = id
+		t.isolatedAt[target] = id
 		e.nextAt = now.Add(isolatedGap)
 		if e.state == wire.PrefixHeld {
 			e.checks++
@@ -304,6 +308,7 @@
 
 // release lets the next request with the same suspect prefix run.
 func (t *Tracker) release(id wire.RequestID, prefixes []wire.PrefixHash) {
+	maps.DeleteFunc(t.isolatedAt, func(_ object.TargetName, isolated wire.RequestID) bool { return isolated == id })
 	if len(t.prefixes) == 0 {
 		return
 	}
--- a/internal/pool/quarantine/tracker_test.go
+++ b/internal/pool/quarantine/tracker_test.go
@@ -19,7 +19,7 @@
 	}
 	t.Arrived(prefixes)
 	id, target := wire.RequestID(fmt.Sprint(number)), object.TargetName(fmt.Sprint("t-", number))
-	t.Granted(now, id, prefixes)
+	t.Granted(now, id, prefixes, target)
 	t.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: target, GrantedAt: now, End: Broken})
 	t.TargetEnded(now, target)
 }
@@ -92,7 +92,7 @@
 		prefixes, id := []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, wire.RequestID(fmt.Sprint(i))
 		tracker.Arrived(prefixes)
 		require.True(t, tracker.MayGrant(now, prefixes))
-		tracker.Granted(now, id, prefixes)
+		tracker.Granted(now, id, prefixes, "t")
 		tracker.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: "t", GrantedAt: now, End: Broken})
 	}
 	notices := tracker.TakeNotices()
@@ -116,7 +116,7 @@
 	now = now.Add(unconfirmedGap)
 	require.False(t, tracker.MayGrant(now, both), "a crash would not tell which prefix caused it")
 	require.True(t, tracker.MayGrant(now, sound))
-	tracker.Granted(now, "sound", sound)
+	tracker.Granted(now, "sound", sound, "t")
 	tracker.Ended(now, Attempt{ID: "sound", Prefixes: sound, Target: "t", GrantedAt: now, End: Completed})
 	require.False(t, tracker.IsSuspect(sound))
 	require.True(t, tracker.MayGrant(now, both))
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -75,7 +75,7 @@
 		s.countDiverted(q)
 		s.useConnection(now, q, t)
 		s.takeRate(now, t)
-		watch := s.quarantine.Granted(now, q.ID, q.Prefixes)
+		watch := s.quarantine.Granted(now, q.ID, q.Prefixes, t.name)
 		s.countCached(q, t)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
