gateway: a request of a host that has not joined is answered within its deadline and at a stop

Cause: requests waited for the link to the arbiter outside of the context that ends at the deadline and at a stop, without a limit until the host joins; and only the list of hosts in the store let it join. Evidence: at the stop 12 of 12 requests await the start, not joined; 0.9 s later the other hosts have given it six members and the configuration. Ruled out: a missing configuration (they do not go on once it is in force), bodies that are still coming (none waits there), a host that is cut off (six live members). Change: the wait ends with the caller's deadline, with a stop, once the host is 3 s old, or after 400 ms; then 503, not run. A host joins through any host that has joined (`joined` in heartbeats; older builds do not send it). Readiness means that a request would be served now. The same cause beside it: bodies were awaited without a deadline. Why it works: each wait before a request is sent now ends with the request's context or the stop's.

--- a/internal/control/member/controller.go
+++ b/internal/control/member/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -42,6 +41,8 @@
 	StorePosition store.Position
 	// StoreAge is the time since StorePosition was last confirmed to be the latest.
 	StoreAge time.Duration
+	// Joined is set if the host knows the other hosts.
+	Joined bool
 }
 
 // Controller runs the membership of this process.
@@ -81,6 +82,7 @@
 	m.done.Go(func() { m.runHeartbeats(ctx) })
 	m.done.Go(func() { m.readList(ctx) })
 	m.done.Go(func() { m.detectSlowness(ctx) })
+	m.done.Go(func() { m.joinThroughPeers(ctx) })
 	return m
 }
 
@@ -166,11 +168,11 @@
 func (m *Controller) probe(ctx context.Context, peer board.Member) {
 	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval)
 	defer cancel()
-	mustSync, err := m.exchange(ctx, peer, false)
+	got, err := m.exchange(ctx, peer, false)
 	if err != nil && ctx.Err() == nil {
-		mustSync, err = m.exchange(ctx, peer, false)
+		got, err = m.exchange(ctx, peer, false)
 	}
-	if err == nil && mustSync {
+	if err == nil && got.mustSync {
 		_, err = m.exchange(ctx, peer, true)
 	}
 	if err != nil {
@@ -181,9 +183,15 @@
 	m.publish()
 }
 
+// exchanged is what the answer to a heartbeat tells.
+type exchanged struct {
+	// mustSync is set if an anti-entropy sync should follow. joined is set if the peer has joined the other hosts.
+	mustSync, joined bool
+}
+
 // exchange sends a heartbeat to a member and processes the answer. With wantAll it requests all
-// live members for an anti-entropy sync. It reports whether such a sync should follow.
-func (m *Controller) exchange(ctx context.Context, peer board.Member, wantAll bool) (mustSync bool, err error) {
+// live members for an anti-entropy sync.
+func (m *Controller) exchange(ctx context.Context, peer board.Member, wantAll bool) (exchanged, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.common.Settings.Peers.HeartbeatInterval/2)
 	defer cancel()
 	m.mu.Lock()
@@ -192,17 +200,18 @@
 	h.WantAll = wantAll
 	answer, err := m.transport.Send(ctx, peer.PeerURL, h)
 	if err != nil {
-		return false, err
+		return exchanged{}, err
 	}
+	got := exchanged{joined: answer.Joined}
 	m.mu.Lock()
 	m.table.Receive(time.Now(), answer)
 	if !wantAll && answer.Digest != 0 {
 		sameZone := m.table.zoneDistance(peer) == 0
-		mustSync = m.sync.due(time.Now(), answer.Digest == m.table.Digest(), sameZone)
+		got.mustSync = m.sync.due(time.Now(), answer.Digest == m.table.Digest(), sameZone)
 	}
 	m.mu.Unlock()
 	m.peerStateHandler.HandlePeerState(answer.peerState(), peer.PeerURL)
-	return mustSync, nil
+	return got, nil
 }
 
 // Answer processes the heartbeat of a peer and returns this host's answer.
@@ -297,7 +306,7 @@
 
 func (m *Controller) localState() PeerState {
 	state := m.board.Store()
-	return PeerState{ConfigRevision: m.configRevision(), StorePosition: state.Position, StoreAge: time.Since(state.ConfirmedAt)}
+	return PeerState{ConfigRevision: m.configRevision(), StorePosition: state.Position, StoreAge: time.Since(state.ConfirmedAt), Joined: m.board.HasJoined()}
 }
 
 func (m *Controller) configRevision() object.Revision {
@@ -307,73 +316,6 @@
 	return 0
 }
 
-// joinInterval is the time between two reads of the list by a host that has not joined yet or
-// has no live peers.
-const joinInterval = 200 * time.Millisecond
-
-// readList reads the platform's list of hosts periodically. Only a few hosts do this for the whole
-// fleet, and each host until it has joined. A heartbeat from one peer does not count as joining,
-// because it contains only a few of the other members.
-func (m *Controller) readList(ctx context.Context) {
-	for ctx.Err() == nil {
-		members := m.board.Members()
-		mustJoin := len(members.Live) == 1 || !m.board.HasJoined()
-		if mustJoin || members.IsSelected("host-list", m.common.Settings.Hosts.Readers) {
-			m.readListOnce(ctx)
-		}
-		wait := m.common.Settings.Hosts.Interval
-		if mustJoin {
-			wait = min(wait, joinInterval)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
-
-func (m *Controller) readListOnce(ctx context.Context) {
-	groups, err := m.lister.List(ctx)
-	switch {
-	case errors.Is(err, hosts.ErrUnchanged):
-		// m.listed is still current. join probes its hosts that have not answered so far.
-	case err == nil:
-		m.listed = groups
-	case ctx.Err() != nil:
-		return
-	default:
-		m.common.CountRetry("host-list")
-		m.log.WithError(err).Warn("Failed to read the list of hosts.")
-		return
-	}
-	m.applyList(m.listed)
-	m.join(ctx, len(m.listed) > 0)
-}
-
-// joinProbes is the number of listed hosts from which a new host requests all members in parallel.
-const joinProbes = 4
-
-// join requests all members from listed hosts that no host has confirmed, so that a new host has
-// the full view before it accepts requests. hasListed reports whether the list contains any host.
-func (m *Controller) join(ctx context.Context, hasListed bool) {
-	m.mu.Lock()
-	unconfirmed := m.table.UnconfirmedMembers(joinProbes)
-	m.mu.Unlock()
-	var probes sync.WaitGroup
-	for _, member := range unconfirmed {
-		probes.Go(func() {
-			if _, err := m.exchange(ctx, member, true); err != nil && ctx.Err() == nil {
-				m.log.WithError(err).WithField("peer", member.Name).Info("Listed host not reached.")
-			}
-		})
-	}
-	probes.Wait()
-	m.publish()
-	if hasListed {
-		m.board.SetJoined()
-	}
-}
-
 // applyList updates the table from the platform's list of hosts.
 func (m *Controller) applyList(groups []hosts.Group) {
 	var entries []board.Member
--- a/internal/control/member/controller_test.go
+++ b/internal/control/member/controller_test.go
@@ -18,6 +18,8 @@
 type peerTransport struct {
 	upAt time.Time
 	peer *Table
+	// hasJoined is set if the peer has joined the other hosts.
+	hasJoined bool
 }
 
 // Send implements Transport.
@@ -26,7 +28,7 @@
 		return Heartbeat{}, errors.New("connection refused")
 	}
 	p.peer.Receive(time.Now(), h)
-	answer := p.peer.Compose(h.From, h.AckedIncarnation, PeerState{ConfigRevision: 1})
+	answer := p.peer.Compose(h.From, h.AckedIncarnation, PeerState{ConfigRevision: 1, Joined: p.hasJoined})
 	if h.WantAll {
 		answer.All = p.peer.All()
 	}
@@ -117,3 +119,47 @@
 		require.NoError(t, m.Close())
 	})
 }
+
+// awayLister stands for a store that turns this host away, at once or only when the caller gives up.
+type awayLister struct{ isSilent bool }
+
+// List implements Lister.
+func (l awayLister) List(ctx context.Context) ([]hosts.Group, error) {
+	if l.isSilent {
+		<-ctx.Done()
+	}
+	return nil, errors.New("status 503")
+}
+
+// TestHostThatTheStoreTurnsAwayJoinsThroughItsPeers guards against a host that answers no request because only the
+// list in the store let it join, although other hosts had given it the members and the configuration (review/9).
+func TestHostThatTheStoreTurnsAwayJoinsThroughItsPeers(t *testing.T) {
+	rows := []struct {
+		name          string
+		lister        awayLister
+		peerHasJoined bool
+		joins         bool
+	}{
+		{"the store answers 503", awayLister{}, true, true},
+		{"the store does not answer", awayLister{isSilent: true}, true, true},
+		{"the peer has not joined either", awayLister{}, false, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peer := NewTable(board.Member{Name: "entry-2", PeerURL: "http://entry-2"}, 1)
+				peer.apply(time.Now(), Update{Member: board.Member{Name: "entry-3", PeerURL: "http://entry-3"}, Status: Alive, Incarnation: 1})
+				b := board.New(board.Member{Name: "entry-1", PeerURL: "http://entry-1"})
+				m := NewController(common.Discard(), b, &peerTransport{peer: peer, hasJoined: row.peerHasJoined}, row.lister, discardPeerState{})
+				m.Answer(peer.Compose("entry-1", 0, PeerState{ConfigRevision: 1, Joined: row.peerHasJoined}))
+				time.Sleep(joinInterval + 10*time.Millisecond)
+				synctest.Wait()
+				require.Equal(t, row.joins, b.HasJoined())
+				if row.joins {
+					require.Len(t, b.Members().Live, 3, "with all members that the peer knows")
+				}
+				require.NoError(t, m.Close())
+			})
+		})
+	}
+}
--- a/internal/control/member/messages.go
+++ b/internal/control/member/messages.go
@@ -51,6 +51,9 @@
 	StoreEra store.Era `json:"store-era,omitempty"`
 	// StoreAgeMS is the time since StoreRevision was last confirmed to be the latest.
 	StoreAgeMS int64 `json:"store-age-ms,omitempty"`
+	// Joined is true if the sender knows the other hosts, so that a new host can learn all of them from it. Earlier builds
+	// do not send it.
+	Joined bool `json:"joined,omitempty"`
 	// Updates are recent member changes that the sender is still spreading.
 	Updates []Update `json:"updates,omitempty"`
 	// LegacyUpdates repeats Updates under the JSON name that builds without digests read and
@@ -79,7 +82,10 @@
 
 // peerState returns the revisions that the sender has.
 func (h *Heartbeat) peerState() PeerState {
-	return PeerState{h.Revision, store.NewPosition(h.StoreEra, h.StoreRevision), time.Duration(h.StoreAgeMS) * time.Millisecond}
+	return PeerState{
+		ConfigRevision: h.Revision, StorePosition: store.NewPosition(h.StoreEra, h.StoreRevision),
+		StoreAge: time.Duration(h.StoreAgeMS) * time.Millisecond, Joined: h.Joined,
+	}
 }
 
 // LeavingList lists the targets that the platform is about to stop.
--- a/internal/control/member/table.go
+++ b/internal/control/member/table.go
@@ -132,7 +132,7 @@
 // that the member is known to have, 0 if unknown. A member that is suspect or dead in this view
 // gets that update first, so that it can refute it.
 func (t *Table) Compose(to string, ackedIncarnation uint64, localState PeerState) Heartbeat {
-	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: localState.ConfigRevision, Digest: t.Digest()}
+	h := Heartbeat{From: t.self.Member.Name, Incarnation: t.self.Incarnation, Revision: localState.ConfigRevision, Joined: localState.Joined, Digest: t.Digest()}
 	if localState.StorePosition > 0 {
 		h.StoreEra = localState.StorePosition.Era()
 		h.StoreRevision = localState.StorePosition.Revision()
--- a/internal/entry/gateway/addresses.go
+++ b/internal/entry/gateway/addresses.go
@@ -9,12 +9,12 @@
 	"redwinglock/internal/state/board"
 )
 
-// ReadinessHandler returns the handler by which the platform checks whether this host accepts
-// callers.
+// ReadinessHandler returns the handler by which the platform checks whether this host would serve
+// callers now.
 func (s *Server) ReadinessHandler() http.Handler {
 	router := gin.New()
 	router.GET(s.dialect.ReadinessPath(), func(c *gin.Context) {
-		if s.board.Stopping() || s.board.Config() == nil {
+		if s.board.Stopping() || s.board.Config() == nil || !s.hasStarted() {
 			c.Status(http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -3,8 +3,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -65,12 +63,13 @@
 	// rateLimitLogs bounds the log lines about invalid rate limits of targets.
 	rateLimitLogs common.RateLimit
 
-	hostID   wire.HostID
-	nextID   atomic.Uint64
-	closed   atomic.Bool
-	stop     stopState
-	active   sync.WaitGroup
-	inFlight atomic.Int64
+	hostID    wire.HostID
+	createdAt time.Time
+	nextID    atomic.Uint64
+	closed    atomic.Bool
+	stop      stopState
+	active    sync.WaitGroup
+	inFlight  atomic.Int64
 	// awaitingStart is the number of requests that wait until this host has started.
 	awaitingStart atomic.Int64
 }
@@ -92,6 +91,7 @@
 		rateLimitLogs: common.RateLimit{Limit: rateLimitLogsPerSecond},
 		hostID:        b.Members().Self.Run,
 		stop:          newStopState(),
+		createdAt:     time.Now(),
 	}
 }
 
@@ -190,7 +190,9 @@
 	if s.closed.Load() {
 		return outcome.Refuse(outcome.HostStopping, stoppingRetryAfter, "this host is stopping")
 	}
-	s.awaitStart(c.Request.Context())
+	if err := s.awaitStart(c.Request.Context(), r); err != nil {
+		return err
+	}
 	r.snapshot = s.board.Config()
 	if r.snapshot == nil {
 		return outcome.Refuse(outcome.NoConfiguration, noConfigurationRetryAfter, "this host has no configuration yet")
@@ -231,35 +233,6 @@
 	return outcome.Refuse(outcome.HostStopping, stoppingRetryAfter, "this host is stopping and may end before the request does")
 }
 
-// joinTimeout bounds how long requests wait until a new host has contacted the other hosts.
-const joinTimeout = 400 * time.Millisecond
-
-// awaitJoin delays a request until this host has contacted the other hosts. Before that, this host
-// would treat itself as the arbiter of every pool.
-func (s *Server) awaitJoin(ctx context.Context) {
-	select {
-	case <-s.board.Joined():
-		return
-	default:
-	}
-	select {
-	case <-s.board.Joined():
-	case <-ctx.Done():
-	case <-time.After(joinTimeout):
-	}
-}
-
-// awaitStart delays a request until this host may register it with an arbiter.
-func (s *Server) awaitStart(ctx context.Context) {
-	s.awaitingStart.Add(1)
-	defer s.awaitingStart.Add(-1)
-	s.awaitJoin(ctx)
-	s.arbiters.AwaitStart(ctx)
-}
-
-// AwaitingStart returns the number of requests that wait until this host may register them with an arbiter.
-func (s *Server) AwaitingStart() int64 { return s.awaitingStart.Load() }
-
 // hostName removes a port from the Host header.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -299,21 +272,6 @@
 	return r.route.Pools[0].Pool
 }
 
-func (s *Server) readBody(c *gin.Context, r *request) error {
-	limit := s.common.Settings.Gateway.MaxBodyBytes
-	body, err := s.bodies.Read(c.Request, limit)
-	switch {
-	case errors.Is(err, upload.ErrTooLarge):
-		return outcome.Refuse(outcome.RequestTooLarge, 0, "body: is larger than %d bytes", limit)
-	case errors.Is(err, upload.ErrNoMemory):
-		return outcome.Refuse(outcome.NoMemory, noMemoryRetryAfter, "body: this host has no memory for it now")
-	case err != nil:
-		return outcome.Refuse(outcome.CallerDisconnected, 0, "the caller did not send the whole body")
-	}
-	r.body = body
-	return nil
-}
-
 // eventTokens returns the number of tokens per event of the answer.
 func (r *request) eventTokens() int {
 	if view := r.snapshot.Pool(r.pool); view != nil {
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -263,11 +262,6 @@
 
 func TestReadinessAndDirectory(t *testing.T) {
 	s := newSite(t)
-	get := func(handler http.Handler, path string) (int, string) {
-		recorder := httptest.NewRecorder()
-		handler.ServeHTTP(recorder, httptest.NewRequest("GET", path, nil))
-		return recorder.Code, recorder.Body.String()
-	}
 	status, _ := get(s.server.ReadinessHandler(), "/ready")
 	require.Equal(t, http.StatusOK, status)
 	status, body := get(s.server.DirectoryHandler(), "/resolve?zone=a")
--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -101,9 +101,15 @@
 // newSite starts a gateway and one target for each handler. The targets are used in the
 // order of the handlers, as long as none is busy.
 func newSite(t *testing.T, handlers ...http.HandlerFunc) *site {
+	b := board.New(board.Member{Name: "entry-1", CallerURL: "10.0.0.1:80"})
+	b.SetJoined()
+	return newSiteOn(t, b, 0, handlers...)
+}
+
+// newSiteOn does the same with a board. Requests wait for the link to the arbiter for up to arbiterWait.
+func newSiteOn(t *testing.T, b *board.Board, arbiterWait time.Duration, handlers ...http.HandlerFunc) *site {
 	gin.SetMode(gin.ReleaseMode)
-	s := &site{t: t, board: board.New(board.Member{Name: "entry-1", CallerURL: "10.0.0.1:80"})}
-	s.board.SetJoined()
+	s := &site{t: t, board: b}
 	var objects []*object.Target
 	for i, handler := range handlers {
 		target := &testTarget{done: make(chan struct{}, 100)}
@@ -122,7 +128,7 @@
 	}
 	s.board.SetConfig(testSnapshot(t).WithTargets(1, objects))
 	c := common.Discard()
-	c.Settings.Gateway = &settings.Gateway{MaxBodyBytes: 1000, RetryShare: 0.5, RetrySlack: 10, AddressTTL: time.Second}
+	c.Settings.Gateway = &settings.Gateway{MaxBodyBytes: 1000, RetryShare: 0.5, RetrySlack: 10, AddressTTL: time.Second, ArbiterWait: arbiterWait}
 	frontServer := front.New(c, s.board)
 	arbiters := arbiter.New(c, s.board, frontServer, http2.New(time.Second, nil))
 	clients := passthrough.New()
@@ -193,6 +199,13 @@
 	return result{response.StatusCode, response.Header, string(content), response.Close, err}
 }
 
+// get sends a request to a handler and returns the status and the body of the answer.
+func get(handler http.Handler, path string) (int, string) {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+	return recorder.Code, recorder.Body.String()
+}
+
 // runs returns the number of requests that each target received.
 func (s *site) runs() []int {
 	var runs []int
--- a/internal/entry/gateway/stop.go
+++ b/internal/entry/gateway/stop.go
@@ -37,6 +37,9 @@
 // stopState is the planned stop of this host.
 type stopState struct {
 	begun atomic.Pointer[begunStop]
+	// beginning is done once the stop has begun.
+	beginning context.Context
+	begin     context.CancelFunc
 	// ending is done once the requests that are left are ended.
 	ending context.Context
 	end    context.CancelFunc
@@ -49,13 +52,15 @@
 }
 
 func newStopState() stopState {
-	ctx, cancel := context.WithCancel(context.Background())
-	return stopState{ending: ctx, end: cancel}
+	beginning, begin := context.WithCancel(context.Background())
+	ending, end := context.WithCancel(context.Background())
+	return stopState{beginning: beginning, begin: begin, ending: ending, end: end}
 }
 
 // BeginStop begins the planned stop of this host. age returns for how long the stop has lasted.
 func (s *Server) BeginStop(schedule StopSchedule, age func() time.Duration) {
 	s.stop.begun.Store(&begunStop{schedule, age})
+	s.stop.begin()
 }
 
 // EndRequests gives the requests that are left their final answers: those that were not sent are refused, the others
@@ -65,6 +70,9 @@
 // hasEnded reports whether the requests that are left are being ended.
 func (t *stopState) hasEnded() bool { return t.ending.Err() != nil }
 
+// hasBegun reports whether the stop has begun.
+func (t *stopState) hasBegun() bool { return t.beginning.Err() != nil }
+
 // accepts reports whether a request is accepted now.
 func (t *stopState) accepts(r *request) bool {
 	stop := t.begun.Load()
@@ -87,9 +95,19 @@
 
 // requestContext returns the context of a request that ends at its deadline, or when this host ends.
 func (t *stopState) requestContext(caller context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	ending, cancelCause := context.WithCancelCause(caller)
-	ctx, cancel := context.WithDeadline(ending, deadline)
-	stopWaiting := context.AfterFunc(t.ending, func() { cancelCause(errHostEnds) })
+	return withStop(caller, t.ending, deadline)
+}
+
+// startContext returns the context of a request that waits for the start of this host, which a stop makes futile.
+func (t *stopState) startContext(caller context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	return withStop(caller, t.beginning, deadline)
+}
+
+// withStop returns a context that ends at a deadline, or with errHostEnds once another context is done.
+func withStop(parent, stop context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	stopping, cancelCause := context.WithCancelCause(parent)
+	ctx, cancel := context.WithDeadline(stopping, deadline)
+	stopWaiting := context.AfterFunc(stop, func() { cancelCause(errHostEnds) })
 	return ctx, func() {
 		stopWaiting()
 		cancel()
--- a/internal/peer/arbiter/client.go
+++ b/internal/peer/arbiter/client.go
@@ -71,6 +71,10 @@
 	}
 	client.done.Add(1)
 	go client.watchBoard()
+	if client.arbiterWait() == 0 {
+		close(client.started)
+		return client
+	}
 	client.done.Go(client.start)
 	return client
 }
--- a/internal/peer/arbiter/start.go
+++ b/internal/peer/arbiter/start.go
@@ -8,19 +8,26 @@
 )
 
 // AwaitStart waits until the link to the arbiter of the pools with discovered targets is open, for a
-// limited time after this host has joined the others.
+// limited time after this host has joined the others. It reports false if ctx ends before: a host may
+// take any time to join.
 //
 // Load pattern: all hosts start together with a backlog of callers. A host without a link would be the
 // arbiter of its own requests, with the share of one host in all slots and quotas.
-func (c *Client) AwaitStart(ctx context.Context) {
+func (c *Client) AwaitStart(ctx context.Context) bool {
 	select {
 	case <-c.started:
-		return
-	default:
+	case <-ctx.Done():
 	}
+	return c.HasStarted()
+}
+
+// HasStarted reports whether requests need not wait for the link to the arbiter any more.
+func (c *Client) HasStarted() bool {
 	select {
 	case <-c.started:
-	case <-ctx.Done():
+		return true
+	default:
+		return false
 	}
 }
 
@@ -29,9 +36,6 @@
 func (c *Client) start() {
 	defer close(c.started)
 	wait := c.arbiterWait()
-	if wait == 0 {
-		return
-	}
 	select {
 	case <-c.board.Joined():
 	case <-c.ctx.Done():
