http1: an answer whose status is none is no answer

Cause: the library's parser takes any three characters that read as a number, and each of our readers believed it: both transports and the own connections to targets, /v1's engines and services, peers, the store, the list of hosts. Change: one rule, http1.CheckHead (200 to 599; informational answers before it; 101 is never asked for), applied where a head has been read and before anyone looks at status, id or seal. The connection is closed; the request may have run (`target-invalid-response`, counter `invalid_answers`), whatever else the head says, also Not-Executed. Ruled out: refusing in the gateway only, as the library keeps the connection and other readers believe the status, too.

--- a/internal/control/catalog/follower.go
+++ b/internal/control/catalog/follower.go
@@ -15,6 +15,7 @@
 
 	"redwinglock/internal/control/member"
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
@@ -56,7 +57,7 @@
 		common:  c,
 		log:     c.Log("config"),
 		board:   b,
-		http:    &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}},
+		http:    &http.Client{Transport: http1.NewTransport(&http.Transport{})},
 		wake:    make(chan struct{}, 1),
 		stop:    stop,
 	}
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"redwinglock/internal/fleet/passthrough"
+	"redwinglock/internal/peer/http1"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/object"
 	"redwinglock/internal/state/outcome"
@@ -57,6 +58,10 @@
 	if errors.Is(err, passthrough.ErrNotSent) {
 		return wire.Finish{}, err
 	}
+	if errors.Is(err, http1.ErrInvalidHead) {
+		s.common.Metrics.Counter("invalid_answers").Inc(1)
+		return wire.Finish{}, outcome.NotCompleted(outcome.Unknown, outcome.TargetInvalidResponse, "target %s: %v", target.Name, err)
+	}
 	if err != nil {
 		s.recordReuseFailure(r, target, err)
 		return wire.Finish{Broken: true}, outcome.NotCompleted(outcome.Unknown, outcome.TargetLost, "target %s: %v", target.Name, err)
--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/outcome"
 )
@@ -74,12 +75,11 @@
 	return &Client{
 		onResume: onResume,
 		memory:   memory,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			IdleConnTimeout:        idleConnTimeout,
-			MaxIdleConnsPerHost:    64,
-			MaxResponseHeaderBytes: body.MaxHeaderBytes,
-		}},
+		http: &http.Client{Transport: http1.NewTransport(&http.Transport{
+			DialContext:         dialer.DialContext,
+			IdleConnTimeout:     idleConnTimeout,
+			MaxIdleConnsPerHost: 64,
+		})},
 	}
 }
 
--- a/internal/fleet/engine/engine_test.go
+++ b/internal/fleet/engine/engine_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 	standin "redwinglock/internal/standin/engine"
 	"redwinglock/internal/state/outcome"
 )
@@ -337,7 +338,7 @@
 	server := httptest.NewServer(engine)
 	defer server.Close()
 	client := New(body.NewBudget(0, 1), func() {})
-	transport := client.http.Transport.(*http.Transport)
+	transport := client.http.Transport.(*http1.Transport)
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		select {
--- a/internal/fleet/passthrough/client.go
+++ b/internal/fleet/passthrough/client.go
@@ -19,7 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
 
-	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 )
 
 const (
@@ -64,8 +64,8 @@
 // Client sends calls to targets.
 type Client struct {
 	counters  *counters
-	keepAlive *http.Transport
-	singleUse *http.Transport
+	keepAlive *http1.Transport
+	singleUse *http1.Transport
 	recent    *recentConnections
 }
 
@@ -97,15 +97,14 @@
 	}
 }
 
-func newTransport(dialer *net.Dialer, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableKeepAlives:      disableKeepAlives,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerTarget,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: body.MaxHeaderBytes,
-	}
+func newTransport(dialer *net.Dialer, disableKeepAlives bool) *http1.Transport {
+	return http1.NewTransport(&http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   disableKeepAlives,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerTarget,
+		IdleConnTimeout:     idleTimeout,
+	})
 }
 
 // setUserTimeout makes the kernel close a connection if the peer does not acknowledge sent
--- a/internal/fleet/passthrough/exchange.go
+++ b/internal/fleet/passthrough/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 )
 
 const (
@@ -33,7 +34,7 @@
 	errNothingWritten = errors.New("nothing was written")
 	errHeadTooLarge   = errors.New("head of the response is too large")
 	errStrays         = errors.New("responses to other calls without an answer")
-	errProtocol       = errors.New("unexpected informational response")
+	errProtocol       = errors.New("too many informational responses")
 )
 
 // connection is one connection to a target. It carries one call at a time.
@@ -174,12 +175,14 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		isInformational := response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK
+		if isInformational && response.StatusCode != http.StatusSwitchingProtocols {
+			continue
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errProtocol
+		if err := http1.CheckHead(response); err != nil {
+			return nil, fmt.Errorf("read response: %w", err)
 		}
+		return response, nil
 	}
 	return nil, errProtocol
 }
--- a/internal/fleet/service/client.go
+++ b/internal/fleet/service/client.go
@@ -11,6 +11,7 @@
 
 	"redwinglock/internal/fleet/engine"
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 	"redwinglock/internal/peer/wire"
 	"redwinglock/internal/state/outcome"
 )
@@ -57,12 +58,11 @@
 func New(memory *body.Budget) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{memory: memory, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			IdleConnTimeout:        idleConnTimeout,
-			MaxIdleConnsPerHost:    64,
-			MaxResponseHeaderBytes: body.MaxHeaderBytes,
-		},
+		Transport: http1.NewTransport(&http.Transport{
+			DialContext:         dialer.DialContext,
+			IdleConnTimeout:     idleConnTimeout,
+			MaxIdleConnsPerHost: 64,
+		}),
 		// A redirect is returned to the caller. Following it would dispatch the request twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- /dev/null
+++ b/internal/peer/http1/head.go
@@ -0,0 +1,25 @@
+// Package http1 checks the answers of other processes beyond what the HTTP library does: whether the head of an
+// answer is valid.
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrInvalidHead is returned for a head that is none. The call may have run, and the connection must not be used
+// again: nobody knows where the next answer begins.
+var ErrInvalidHead = errors.New("invalid head of an answer")
+
+// maxStatus is the highest status of an answer.
+const maxStatus = 599
+
+// CheckHead returns an error, which wraps ErrInvalidHead, if the head of a final answer is not valid. The status is
+// from 200 to 599. Informational answers come before, and nothing here asks for another protocol.
+func CheckHead(response *http.Response) error {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return fmt.Errorf("%w: status %q", ErrInvalidHead, response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/http1/transport.go
@@ -0,0 +1,60 @@
+package http1
+
+import (
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"redwinglock/internal/peer/body"
+)
+
+// Transport is an http.Transport that returns no answer with an invalid head.
+type Transport struct{ *http.Transport }
+
+// NewTransport creates a transport and bounds the heads that it reads. It takes over the given transport, which must
+// not be used afterwards.
+func NewTransport(base *http.Transport) *Transport {
+	base.MaxResponseHeaderBytes = body.MaxHeaderBytes
+	return &Transport{base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	c := &call{}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), c.trace())))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		c.closeConnection() // The library may have kept it already.
+		return nil, err
+	}
+	return response, nil
+}
+
+// call is the state of one call. The library calls its trace in several goroutines.
+type call struct {
+	mu sync.Mutex
+	// connection is the latest connection of the call.
+	connection interface{ Close() error }
+}
+
+// trace returns the hooks by which the library reports the progress of the call.
+func (c *call) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: c.gotConnection}
+}
+
+func (c *call) gotConnection(info httptrace.GotConnInfo) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.connection = info.Conn
+}
+
+func (c *call) closeConnection() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connection != nil {
+		_ = c.connection.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/http1/transport_test.go
@@ -0,0 +1,70 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newRawServer starts a server that reads requests and writes the given bytes to each, and returns its URL.
+func newRawServer(t *testing.T, answer string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				reader := bufio.NewReader(connection)
+				if request, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(connection, answer)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// TestTransportReturnsNoInvalidHead guards against heads that the HTTP library accepts.
+func TestTransportReturnsNoInvalidHead(t *testing.T) {
+	rows := []struct {
+		name, head string
+		valid      bool
+	}{
+		{"200", "HTTP/1.1 200 OK\r\n", true},
+		{"599", "HTTP/1.1 599 Odd\r\n", true},
+		{"informational, then 200", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", true},
+		{"status 000", "HTTP/1.1 000 Trouble\r\n", false},
+		{"status 099", "HTTP/1.1 099 Trouble\r\n", false},
+		{"status +20", "HTTP/1.1 +20 Trouble\r\n", false},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n", false},
+		{"status 600", "HTTP/1.1 600 Trouble\r\n", false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			transport := NewTransport(&http.Transport{})
+			defer transport.CloseIdleConnections()
+			request, err := http.NewRequest(http.MethodGet, newRawServer(t, row.head+"Content-Length: 2\r\n\r\nok"), nil)
+			require.NoError(t, err)
+			response, err := transport.RoundTrip(request)
+			if !row.valid {
+				require.ErrorIs(t, err, ErrInvalidHead)
+				return
+			}
+			require.NoError(t, err)
+			defer response.Body.Close()
+			content, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, "ok", string(content))
+		})
+	}
+}
--- a/internal/peer/http2/client.go
+++ b/internal/peer/http2/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 )
 
 // Client multiplexes requests over one connection to each host. An open connection can become
@@ -64,10 +65,16 @@
 	}}
 }
 
-// Do sends a request. Errors are those of http.Client.
+// Do sends a request. Errors are those of http.Client, or wrap http1.ErrInvalidHead.
 func (c *Client) Do(request *http.Request) (*http.Response, error) {
 	client := c.current.Load()
 	response, err := client.Do(request)
+	if err == nil {
+		if err = http1.CheckHead(response); err != nil {
+			_ = response.Body.Close()
+			response = nil
+		}
+	}
 	if err != nil && !dialFailed(err) {
 		c.replace(client)
 	}
--- a/internal/platform/hosts/hosts.go
+++ b/internal/platform/hosts/hosts.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 )
 
 // The labels of a group and their values.
@@ -49,7 +50,7 @@
 
 // New creates a client for the list at the URL.
 func New(url string) *Client {
-	return &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: body.MaxHeaderBytes}}}
+	return &Client{url: url, http: &http.Client{Transport: http1.NewTransport(&http.Transport{})}}
 }
 
 // Close closes idle connections.
--- a/internal/platform/store/etcd.go
+++ b/internal/platform/store/etcd.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/peer/http1"
 )
 
 const (
@@ -40,7 +41,7 @@
 	return &Etcd{
 		endpoints: endpoints,
 		timeout:   timeout,
-		http:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: body.MaxHeaderBytes}},
+		http:      &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: dialer.DialContext})},
 	}
 }
 
