http1: an answer with a blank in the name of a field is no answer

Callers got answers of targets in trouble in whose head the name of a field held a blank: with that line passed on (`X Y`), or with a body that ends elsewhere than the target meant (`Content-Length : 2`, `Transfer-Encoding : chunked`). Cause: the library's parser turns away names with control bytes, tabs or nothing in them, but lets blanks pass, and none of our readers checked names. A field with such a name frames the body for some programs only. The connection is closed; the request may have run. Ruled out: control bytes, a tab before the colon and an empty name, which the library refuses already (20 rows and their kinds of call stay as a test); a check of the fields that frame only, as the others are passed on to callers.

--- a/internal/entry/gateway/head_test.go
+++ b/internal/entry/gateway/head_test.go
@@ -56,3 +56,11 @@
 		t.Run(status, func(t *testing.T) { requireNoAnswer(t, invalidHeadAnswer(status, "")) })
 	}
 }
+
+// TestAnswerWithAnInvalidFieldNameIsNotForwarded guards against a target in trouble in whose head a blank stands in the
+// name of a field, which callers got as an answer.
+func TestAnswerWithAnInvalidFieldNameIsNotForwarded(t *testing.T) {
+	for _, line := range []string{"X Y: 1\r\n", "X-Name : 1\r\n", "Content-Length : 2\r\n", "Transfer-Encoding : chunked\r\n"} {
+		t.Run(line, func(t *testing.T) { requireNoAnswer(t, invalidHeadAnswer("200 OK", line)) })
+	}
+}
--- a/internal/fleet/passthrough/exchange.go
+++ b/internal/fleet/passthrough/exchange.go
@@ -175,14 +175,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
-		isInformational := response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK
-		if isInformational && response.StatusCode != http.StatusSwitchingProtocols {
-			continue
+		isFinal := response.StatusCode < http.StatusContinue || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols
+		if isFinal {
+			return response, http1.CheckHead(response)
 		}
-		if err := http1.CheckHead(response); err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+		if err := http1.CheckFieldNames(response.Header); err != nil {
+			return nil, err
 		}
-		return response, nil
 	}
 	return nil, errProtocol
 }
--- a/internal/fleet/passthrough/head_test.go
+++ b/internal/fleet/passthrough/head_test.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -78,3 +79,50 @@
 		}
 	}
 }
+
+// TestAnswerWithAnInvalidFieldNameIsNone guards against a head in which a blank or a control byte stands in the name of
+// a field: the caller got that line, or a body that another program would end elsewhere.
+func TestAnswerWithAnInvalidFieldNameIsNone(t *testing.T) {
+	rows := []struct{ name, fields string }{
+		{"a blank before the colon", "X-Name : 1\r\nContent-Length: 4\r\n"},
+		{"a blank in the name", "X Y: 1\r\nContent-Length: 4\r\n"},
+		{"the length, without a valid one", "Content-Length : 2\r\n"},
+		{"the length, beside a valid one", "Content-Length : 2\r\nContent-Length: 4\r\n"},
+		{"chunks", "Transfer-Encoding : chunked\r\nContent-Length: 4\r\n"},
+		{"in an informational answer", "INFORMATIONAL"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			eachKind(t, func(t *testing.T, earlier int, change func(*Call)) {
+				answer := "HTTP/1.1 200 OK\r\nId: ID\r\n" + row.fields + "\r\noops"
+				if row.fields == "INFORMATIONAL" {
+					answer = "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + responseTo("ID", "")
+				}
+				requireInvalid(t, earlier, change, answer)
+			})
+		})
+	}
+	for _, name := range []string{"X\x01Y", "X\tY", "X\x7f", "X-Name\t", ""} {
+		t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+			eachKind(t, func(t *testing.T, earlier int, change func(*Call)) {
+				target := newRawTarget(t, func(r received) bool {
+					if r.request > earlier {
+						_, _ = io.WriteString(r.conn, responseTo(r.id, name+": 1\r\n"))
+						return true
+					}
+					return answerEach(r)
+				})
+				c := newCaller(t, target)
+				for range earlier {
+					call := c.call(http.MethodPost, "order")
+					change(&call)
+					c.answered(call)
+				}
+				call := c.call(http.MethodPost, "order")
+				change(&call)
+				_, _, _, err := c.do(call)
+				require.Error(t, err, "the library turns it away by itself")
+			})
+		})
+	}
+}
--- a/internal/peer/http1/head.go
+++ b/internal/peer/http1/head.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalidHead is returned for a head that is none. The call may have run, and the connection must not be used
@@ -21,5 +23,16 @@
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrInvalidHead, response.Status)
 	}
+	return CheckFieldNames(response.Header)
+}
+
+// CheckFieldNames returns an error, which wraps ErrInvalidHead, unless the name of each field is a token. The HTTP
+// library accepts names with blanks. A length or an encoding with such a name frames the body for some readers only.
+func CheckFieldNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", ErrInvalidHead, name)
+		}
+	}
 	return nil
 }
--- a/internal/peer/http1/transport.go
+++ b/internal/peer/http1/transport.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 
 	"redwinglock/internal/peer/body"
@@ -42,7 +43,12 @@
 
 // trace returns the hooks by which the library reports the progress of the call.
 func (c *call) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: c.gotConnection}
+	return &httptrace.ClientTrace{GotConn: c.gotConnection, Got1xxResponse: checkInformational}
+}
+
+// checkInformational ends a call with an informational answer whose head is not valid.
+func checkInformational(_ int, header textproto.MIMEHeader) error {
+	return CheckFieldNames(http.Header(header))
 }
 
 func (c *call) gotConnection(info httptrace.GotConnInfo) {
