http1: informational answers are counted again

Cause: net/http counts informational answers only if no hook for them is set. Change: the hook counts them, with the bound of the own connections (five), which is one constant now. Ruled out: the check of names itself, which returns at once.

--- a/internal/fleet/passthrough/exchange.go
+++ b/internal/fleet/passthrough/exchange.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// maxInformational is the maximum number of informational responses before an answer.
-	maxInformational = 5
 	// maxStrays is the maximum number of responses to other calls that are skipped, and maxStrayBytes
 	// the maximum size of the body of each.
 	maxStrays     = 2
@@ -34,7 +32,6 @@
 	errNothingWritten = errors.New("nothing was written")
 	errHeadTooLarge   = errors.New("head of the response is too large")
 	errStrays         = errors.New("responses to other calls without an answer")
-	errProtocol       = errors.New("too many informational responses")
 )
 
 // connection is one connection to a target. It carries one call at a time.
@@ -168,7 +165,7 @@
 
 // readResponse reads the head of the next response that is not informational.
 func (c *connection) readResponse(request *http.Request) (*http.Response, error) {
-	for range maxInformational + 1 {
+	for range http1.MaxInformational + 1 {
 		c.headLeft = body.MaxHeaderBytes
 		response, err := http.ReadResponse(c.reader, request)
 		c.headLeft = noLimit
@@ -183,5 +180,5 @@
 			return nil, err
 		}
 	}
-	return nil, errProtocol
+	return nil, http1.ErrTooManyInformational
 }
--- a/internal/peer/http1/head.go
+++ b/internal/peer/http1/head.go
@@ -14,6 +14,12 @@
 // again: nobody knows where the next answer begins.
 var ErrInvalidHead = errors.New("invalid head of an answer")
 
+// MaxInformational is the maximum number of informational answers before a final one.
+const MaxInformational = 5
+
+// ErrTooManyInformational is returned if more informational answers come.
+var ErrTooManyInformational = errors.New("too many informational answers")
+
 // maxStatus is the highest status of an answer.
 const maxStatus = 599
 
--- a/internal/peer/http1/transport.go
+++ b/internal/peer/http1/transport.go
@@ -39,15 +39,24 @@
 	mu sync.Mutex
 	// connection is the latest connection of the call.
 	connection interface{ Close() error }
+	// informational is the number of informational answers.
+	informational int
 }
 
 // trace returns the hooks by which the library reports the progress of the call.
 func (c *call) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: c.gotConnection, Got1xxResponse: checkInformational}
+	return &httptrace.ClientTrace{GotConn: c.gotConnection, Got1xxResponse: c.gotInformational}
 }
 
-// checkInformational ends a call with an informational answer whose head is not valid.
-func checkInformational(_ int, header textproto.MIMEHeader) error {
+// gotInformational ends a call with an informational answer whose head is not valid, or with too many of them: the
+// library counts them only if nobody asks for them.
+func (c *call) gotInformational(_ int, header textproto.MIMEHeader) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.informational++
+	if c.informational > MaxInformational {
+		return ErrTooManyInformational
+	}
 	return CheckFieldNames(http.Header(header))
 }
 
