http1: a body without a frame is whole only if the whole call was written

Cause: a reset is reported once, to the write or the read, whichever asks first. If the write gets it, the read sees an ordinary end, which is the end of such a body. Change: such an end counts only once the whole call is written without an error, waited for for 50 ms. Calls that may run once go on own connections, where each write is seen; the transports left tell the end of the writing, and their connections remember failed writes. Ruled out: the library's report alone, as it comes before its buffer is flushed. Framed answers are delivered as before, also a 413 that comes before the upload has ended. Each other reader has a test of its own that an invalid head is no answer.

--- a/internal/fleet/passthrough/answer.go
+++ b/internal/fleet/passthrough/answer.go
@@ -10,7 +10,8 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
+
+	"redwinglock/internal/peer/http1"
 )
 
 // answerBody is the body of an answer on a connection of the pool.
@@ -22,7 +23,7 @@
 	ctx        context.Context
 	// stop detaches the connection from the context. It reports false if that has ended.
 	stop    func() bool
-	written <-chan error
+	written *http1.CallWrite
 	reused  bool
 
 	// complete is set at the end of the body.
@@ -33,6 +34,7 @@
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.content.Read(p)
+	err = b.written.CheckEnd(http1.IsFramed(b.response), err)
 	if errors.Is(err, io.EOF) {
 		b.complete.Store(true)
 		return n, err
@@ -69,15 +71,10 @@
 
 // mayKeep reports whether the target expects further calls on the connection of a complete answer.
 func (b *answerBody) mayKeep() bool {
-	if b.response.Close || b.connection.skipped || b.connection.reader.Buffered() > 0 || forbidsReuse(b.response.Header) {
-		return false
-	}
-	select {
-	case err := <-b.written:
-		return err == nil
-	case <-time.After(writeEndWait):
+	if b.response.Close || b.connection.singleUse || b.connection.skipped || b.connection.reader.Buffered() > 0 || forbidsReuse(b.response.Header) {
 		return false
 	}
+	return b.written.Await() == nil
 }
 
 // forbidsReuse reports whether a Keep-Alive header names a timeout of zero or no further request.
--- a/internal/fleet/passthrough/client.go
+++ b/internal/fleet/passthrough/client.go
@@ -63,7 +63,8 @@
 
 // Client sends calls to targets.
 type Client struct {
-	counters  *counters
+	counters *counters
+	// keepAlive sends idempotent calls, and recent all others but those over TLS, which singleUse sends.
 	keepAlive *http1.Transport
 	singleUse *http1.Transport
 	recent    *recentConnections
@@ -147,6 +148,9 @@
 	if call.mayReuse() && request.URL.Scheme == "http" && !c.recent.usesNewOnly(addressOf(request.URL)) {
 		return c.recent.send(ctx, call, func() (*http.Request, error) { return newRequest(ctx, call) })
 	}
+	if request.URL.Scheme == "http" && call.Method != http.MethodConnect {
+		return c.recent.sendOnce(ctx, request)
+	}
 	request.GetBody = nil // Prevents the transport from resending the body in a retry.
 	return c.singleUse.RoundTrip(request)
 }
--- a/internal/fleet/passthrough/exchange.go
+++ b/internal/fleet/passthrough/exchange.go
@@ -21,8 +21,6 @@
 	maxStrayBytes = 64 << 10
 	// writeErrorGrace is how long an answer is awaited from a target that stopped reading the call.
 	writeErrorGrace = 50 * time.Millisecond
-	// writeEndWait bounds the wait for the end of the writing of a call whose answer is complete.
-	writeEndWait = 50 * time.Millisecond
 	// noLimit lets any number of bytes be read.
 	noLimit = -1
 )
@@ -42,6 +40,8 @@
 	// calls are the hashes of the ids of the calls that the connection has carried.
 	calls  []uint64
 	reused bool
+	// singleUse is set if the connection carries one call only.
+	singleUse bool
 	// hasReceived is set once a byte has been received since the call was sent, skipped once a response
 	// to another call was skipped.
 	hasReceived, skipped bool
@@ -90,13 +90,13 @@
 	c.calls = append(c.calls, id)
 	c.hasReceived, c.skipped, c.written = false, false, 0
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
-	written := make(chan error, 1)
-	go func() { written <- c.writeCall(request) }()
+	written := http1.NewCallWrite()
+	go func() { written.End(c.writeCall(request)) }()
 	response, err := r.readAnswer(c, request, isStray)
 	if err != nil {
 		stop()
 		_ = c.Conn.Close()
-		return nil, r.failure(ctx, c, <-written, err)
+		return nil, r.failure(ctx, c, written.Wait(), err)
 	}
 	response.Body = &answerBody{
 		content: response.Body, connection: c, pool: r, response: response, ctx: ctx, stop: stop, written: written, reused: c.reused,
--- a/internal/fleet/passthrough/recent.go
+++ b/internal/fleet/passthrough/recent.go
@@ -105,12 +105,32 @@
 			return nil, err
 		}
 	}
+	c, err := r.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return r.exchange(ctx, c, request, id, nil)
+}
+
+// sendOnce sends a call on a new connection, which is not used again.
+func (r *recentConnections) sendOnce(ctx context.Context, request *http.Request) (*http.Response, error) {
+	c, err := r.dial(ctx, addressOf(request.URL))
+	if err != nil {
+		return nil, err
+	}
+	c.singleUse = true
+	request.Close = true
+	return r.exchange(ctx, c, request, 0, nil)
+}
+
+// dial opens a connection to an address.
+func (r *recentConnections) dial(ctx context.Context, address string) (*connection, error) {
 	conn, err := r.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
 	r.counters.opened.Inc(1)
-	return r.exchange(ctx, newConnection(conn, address), request, id, nil)
+	return newConnection(conn, address), nil
 }
 
 // take removes an idle connection from the pool that may carry the call with the given id, the one
--- a/internal/fleet/service/client_test.go
+++ b/internal/fleet/service/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinglock/internal/peer/body"
+	"redwinglock/internal/standin/rawhttp"
 )
 
 func allow() bool { return true }
@@ -63,3 +64,13 @@
 	require.Error(t, err)
 	require.NoError(t, client.Close())
 }
+
+// TestAnswerWithAnInvalidHeadIsNone guards against answers of a service in trouble that the HTTP library accepts.
+func TestAnswerWithAnInvalidHeadIsNone(t *testing.T) {
+	for _, answer := range rawhttp.InvalidHeads {
+		client := New(body.NewBudget(0, 1))
+		_, err := client.Do(context.Background(), Call{Address: "http://" + rawhttp.NewServer(t, answer), Method: http.MethodGet, Path: "/", Header: http.Header{}}, allow)
+		require.Error(t, err, answer)
+		require.NoError(t, client.Close())
+	}
+}
--- /dev/null
+++ b/internal/peer/http1/end.go
@@ -0,0 +1,72 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// ErrUncertainEnd is returned at the end of a body without a frame if something on its connection has failed: the body
+// may be a part only.
+var ErrUncertainEnd = errors.New("the answer may have been cut")
+
+// writeEndWait bounds the wait for the end of the writing of a call whose answer is complete.
+const writeEndWait = 50 * time.Millisecond
+
+// IsFramed reports whether a length, chunks or the protocol mark the end of the body of an answer. Otherwise it ends
+// with its connection.
+func IsFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed || response.ProtoMajor > 1
+}
+
+// CallWrite is the writing of one call to a connection. A reset of the connection is reported once, to whichever asks
+// first. If the writing gets the report, the reading sees an ordinary end.
+type CallWrite struct {
+	done chan struct{}
+	once sync.Once
+	err  error
+}
+
+// NewCallWrite creates the state of a call that is about to be written.
+func NewCallWrite() *CallWrite { return &CallWrite{done: make(chan struct{})} }
+
+// End records the end of the writing and its error. Further calls do nothing.
+func (w *CallWrite) End(err error) {
+	w.once.Do(func() {
+		w.err = err
+		close(w.done)
+	})
+}
+
+// Wait waits until the writing has ended, which it does once the connection is closed, and returns its error.
+func (w *CallWrite) Wait() error {
+	<-w.done
+	return w.err
+}
+
+// Await waits until the whole call has been written, for a short time, and returns an error if it has not been.
+func (w *CallWrite) Await() error {
+	timeout := time.NewTimer(writeEndWait)
+	defer timeout.Stop()
+	select {
+	case <-w.done:
+		return w.err
+	case <-timeout.C:
+		return errors.New("the call is still being written")
+	}
+}
+
+// CheckEnd returns the error of the end of a body. The end of a body without a frame counts only if the whole call has
+// been written and nothing has failed.
+func (w *CallWrite) CheckEnd(isFramed bool, end error) error {
+	if isFramed || !errors.Is(end, io.EOF) {
+		return end
+	}
+	if err := w.Await(); err != nil {
+		return fmt.Errorf("%w: %w", ErrUncertainEnd, err)
+	}
+	return end
+}
--- a/internal/peer/http1/head.go
+++ b/internal/peer/http1/head.go
@@ -1,5 +1,5 @@
 // Package http1 checks the answers of other processes beyond what the HTTP library does: whether the head of an
-// answer is valid.
+// answer is valid, and whether a body that ends with its connection is whole.
 package http1
 
 import (
--- a/internal/peer/http1/transport.go
+++ b/internal/peer/http1/transport.go
@@ -1,21 +1,38 @@
 package http1
 
 import (
+	"context"
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
 
 	"redwinglock/internal/peer/body"
 )
 
-// Transport is an http.Transport that returns no answer with an invalid head.
+// Transport is an http.Transport that returns no answer with an invalid head, and an error at the end of a body that
+// may have been cut.
 type Transport struct{ *http.Transport }
 
 // NewTransport creates a transport and bounds the heads that it reads. It takes over the given transport, which must
 // not be used afterwards.
 func NewTransport(base *http.Transport) *Transport {
 	base.MaxResponseHeaderBytes = body.MaxHeaderBytes
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &connection{Conn: c}, nil
+	}
 	return &Transport{base}
 }
 
@@ -31,21 +48,47 @@
 		c.closeConnection() // The library may have kept it already.
 		return nil, err
 	}
+	if !IsFramed(response) && response.Body != http.NoBody {
+		response.Body = &unframedBody{ReadCloser: response.Body, call: c}
+	}
 	return response, nil
 }
 
+// connection records that a write has failed, which the library may not report.
+type connection struct {
+	net.Conn
+	// writing is the number of writes that have not ended.
+	writing atomic.Int32
+	failed  atomic.Bool
+}
+
+// Write implements io.Writer.
+func (c *connection) Write(p []byte) (int, error) {
+	c.writing.Add(1)
+	defer c.writing.Add(-1)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return n, err
+}
+
+// hasWritten reports whether all writes have ended without an error.
+func (c *connection) hasWritten() bool { return c.writing.Load() == 0 && !c.failed.Load() }
+
 // call is the state of one call. The library calls its trace in several goroutines.
 type call struct {
 	mu sync.Mutex
-	// connection is the latest connection of the call.
-	connection interface{ Close() error }
+	// connection is the latest connection of the call, and write its writing to it.
+	connection net.Conn
+	write      *CallWrite
 	// informational is the number of informational answers.
 	informational int
 }
 
 // trace returns the hooks by which the library reports the progress of the call.
 func (c *call) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: c.gotConnection, Got1xxResponse: c.gotInformational}
+	return &httptrace.ClientTrace{GotConn: c.gotConnection, WroteRequest: c.wroteRequest, Got1xxResponse: c.gotInformational}
 }
 
 // gotInformational ends a call with an informational answer whose head is not valid, or with too many of them: the
@@ -63,7 +106,15 @@
 func (c *call) gotConnection(info httptrace.GotConnInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.connection = info.Conn
+	c.connection, c.write = info.Conn, NewCallWrite()
+}
+
+func (c *call) wroteRequest(info httptrace.WroteRequestInfo) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.write != nil {
+		c.write.End(info.Err)
+	}
 }
 
 func (c *call) closeConnection() {
@@ -73,3 +124,43 @@
 		_ = c.connection.Close()
 	}
 }
+
+// state returns the latest connection of the call and the writing to it.
+func (c *call) state() (net.Conn, *CallWrite) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connection, c.write
+}
+
+// unframedBody is the body of an answer that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	call *call
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	used, write := b.call.state()
+	if write == nil {
+		return n, ErrUncertainEnd
+	}
+	if checked := write.CheckEnd(false, err); checked != err {
+		return n, checked
+	}
+	if plain, ok := underlying(used).(*connection); ok && !plain.hasWritten() {
+		return n, ErrUncertainEnd
+	}
+	return n, err
+}
+
+// underlying returns the connection below a TLS connection.
+func underlying(c net.Conn) net.Conn {
+	if secure, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return secure.NetConn()
+	}
+	return c
+}
--- a/internal/peer/http1/transport_test.go
+++ b/internal/peer/http1/transport_test.go
@@ -1,38 +1,16 @@
 package http1
 
 import (
-	"bufio"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-)
 
-// newRawServer starts a server that reads requests and writes the given bytes to each, and returns its URL.
-func newRawServer(t *testing.T, answer string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				reader := bufio.NewReader(connection)
-				if request, err := http.ReadRequest(reader); err == nil {
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(connection, answer)
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
-}
+	"redwinglock/internal/standin/rawhttp"
+)
 
 // TestTransportReturnsNoInvalidHead guards against heads that the HTTP library accepts.
 func TestTransportReturnsNoInvalidHead(t *testing.T) {
@@ -58,7 +36,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			transport := NewTransport(&http.Transport{})
 			defer transport.CloseIdleConnections()
-			request, err := http.NewRequest(http.MethodGet, newRawServer(t, row.head+"Content-Length: 2\r\n\r\nok"), nil)
+			request, err := http.NewRequest(http.MethodGet, "http://"+rawhttp.NewServer(t, row.head+"Content-Length: 2\r\n\r\nok"), nil)
 			require.NoError(t, err)
 			response, err := transport.RoundTrip(request)
 			if !row.valid {
@@ -73,3 +51,22 @@
 		})
 	}
 }
+
+// TestUnframedAnswerOfATransportEnds reads bodies that end with their connection, after the whole call was read.
+func TestUnframedAnswerOfATransportEnds(t *testing.T) {
+	for _, upload := range []int{0, 10, 1 << 20} {
+		t.Run(fmt.Sprint(upload, " bytes"), func(t *testing.T) {
+			transport := NewTransport(&http.Transport{})
+			defer transport.CloseIdleConnections()
+			address := "http://" + rawhttp.NewServer(t, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			request, err := http.NewRequest(http.MethodPost, address, strings.NewReader(strings.Repeat("x", upload)))
+			require.NoError(t, err)
+			response, err := transport.RoundTrip(request)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			content, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, "whole", string(content))
+		})
+	}
+}
--- a/internal/peer/http2/client_test.go
+++ b/internal/peer/http2/client_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/http1"
 )
 
 // TestIdleConnectionsAreClosed sends one request to each of several hosts. Their connections must
@@ -64,3 +66,18 @@
 	require.Error(t, err)
 	require.NoError(t, client.Close())
 }
+
+// TestAnswerWithAnInvalidStatusIsNone guards against a peer in trouble whose status the HTTP library accepts.
+func TestAnswerWithAnInvalidStatusIsNone(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(999) }))
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	defer server.Close()
+	client := New(time.Second, nil)
+	request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	require.NoError(t, err)
+	_, err = client.Do(request)
+	require.ErrorIs(t, err, http1.ErrInvalidHead)
+	require.NoError(t, client.Close())
+}
--- a/internal/platform/hosts/hosts_test.go
+++ b/internal/platform/hosts/hosts_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/peer/http1"
+	"redwinglock/internal/standin/rawhttp"
 )
 
 // TestLongListOverANarrowLinkIsRead reads a list that takes longer than the timeout of a call but moves on.
@@ -29,3 +32,13 @@
 	require.Len(t, groups, 1)
 	require.NoError(t, client.Close())
 }
+
+// TestListWithAnInvalidHeadIsNone guards against a list of hosts that the HTTP library accepts from a server in trouble.
+func TestListWithAnInvalidHeadIsNone(t *testing.T) {
+	for _, answer := range rawhttp.InvalidHeads {
+		client := New("http://" + rawhttp.NewServer(t, strings.Replace(answer, "{}", "[]", 1)))
+		_, err := client.List(context.Background())
+		require.ErrorIs(t, err, http1.ErrInvalidHead, answer)
+		require.NoError(t, client.Close())
+	}
+}
--- a/internal/platform/store/etcd_test.go
+++ b/internal/platform/store/etcd_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"redwinglock/internal/standin/rawhttp"
 )
 
 // TestLargeAnswerOverANarrowLinkIsRead reads keys whose answer takes longer than the timeout of a call but moves on.
@@ -28,3 +30,13 @@
 	require.Zero(t, value.ModRevision)
 	require.NoError(t, client.Close())
 }
+
+// TestResponseWithAnInvalidHeadIsNone guards against responses of a store in trouble that the HTTP library accepts.
+func TestResponseWithAnInvalidHeadIsNone(t *testing.T) {
+	for _, answer := range rawhttp.InvalidHeads {
+		e := NewEtcd([]string{"http://" + rawhttp.NewServer(t, answer)}, time.Second)
+		_, err := e.Get(context.Background(), "key")
+		require.ErrorIs(t, err, ErrUnavailable, answer)
+		require.NoError(t, e.Close())
+	}
+}
