gateway: the end of the wait for a body reaches only the request that it belongs to

Callers that sent requests at the end of a planned stop got 499 `caller-gone` in place of 503 `host-stopping` (both say not run), on a connection that had carried another request at that moment. Cause: the read deadline that ends the wait for a body was set in a goroutine that outlived the request, and met the next one on the same connection; it was also set after the whole body had been read. Ruled out: the order of the causes of the context (the first one stays). Change: the interrupt takes a lock and has no effect after the body was read; a request that it ended is refused by its cause, and its connection is closed. Result: 90 plays under the race detector pass, and the package does.

--- a/internal/entry/gateway/body.go
+++ b/internal/entry/gateway/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -17,22 +18,66 @@
 func (s *Server) readBody(c *gin.Context, r *request) error {
 	ctx, cancel := s.stop.requestContext(c.Request.Context(), r.deadline)
 	defer cancel()
-	endRead := context.AfterFunc(ctx, func() { _ = http.NewResponseController(c.Writer).SetReadDeadline(time.Now()) })
-	defer endRead()
 	limit := s.common.Settings.Gateway.MaxBodyBytes
+	interrupt := interruptReads(ctx, c.Writer)
 	body, err := s.bodies.Read(c.Request, limit)
+	if interrupt.end() {
+		c.Header("Connection", "close")
+		if err == nil {
+			body.Release()
+		}
+		return interruptedFailure(ctx)
+	}
 	switch {
 	case errors.Is(err, upload.ErrTooLarge):
 		return outcome.Refuse(outcome.RequestTooLarge, 0, "body: is larger than %d bytes", limit)
 	case errors.Is(err, upload.ErrNoMemory):
 		return outcome.Refuse(outcome.NoMemory, noMemoryRetryAfter, "body: this host has no memory for it now")
-	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return outcome.Refuse(outcome.DeadlinePassed, 0, "the time was up before the whole body had arrived")
-	case err != nil && ctx.Err() != nil:
-		return refuseAtEnd(ctx, outcome.Refuse(outcome.CallerDisconnected, 0, "the caller did not send the whole body"))
 	case err != nil:
 		return outcome.Refuse(outcome.CallerDisconnected, 0, "the caller did not send the whole body")
 	}
 	r.body = body
 	return nil
 }
+
+// interruptedFailure returns the refusal of a request whose body was awaited until a context ended.
+func interruptedFailure(ctx context.Context) error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errHostEnds):
+		return errNotSentBeforeEnd()
+	case errors.Is(cause, context.DeadlineExceeded):
+		return outcome.Refuse(outcome.DeadlinePassed, 0, "the time was up before the whole body had arrived")
+	}
+	return outcome.Refuse(outcome.CallerDisconnected, 0, "the caller did not send the whole body")
+}
+
+// readInterrupt ends the reads from a caller's connection once a context is done. It has no effect after end, as the
+// connection may carry another request then.
+type readInterrupt struct {
+	mu           sync.Mutex
+	ended, fired bool
+	// stop detaches the interrupt from the context.
+	stop func() bool
+}
+
+func interruptReads(ctx context.Context, w http.ResponseWriter) *readInterrupt {
+	i := &readInterrupt{}
+	i.stop = context.AfterFunc(ctx, func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if !i.ended {
+			i.fired = true
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		}
+	})
+	return i
+}
+
+// end reports whether the reads were ended. Nothing more can be read from the connection then.
+func (i *readInterrupt) end() bool {
+	i.stop()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.ended = true
+	return i.fired
+}
