gateway: a host that does not wait for others is ready without them

With gateway.arbiter-wait 0 a host that reaches no other one serves by itself after 400 ms, as before. Cause: the check asked whether the host has joined, and not whether a request would be served. Change: it asks whether requests need not wait any more, which implies the join wherever they wait for it.

--- a/internal/entry/gateway/addresses.go
+++ b/internal/entry/gateway/addresses.go
@@ -14,7 +14,7 @@
 func (s *Server) ReadinessHandler() http.Handler {
 	router := gin.New()
 	router.GET(s.dialect.ReadinessPath(), func(c *gin.Context) {
-		if s.board.Stopping() || s.board.Config() == nil || !s.hasStarted() {
+		if s.board.Stopping() || s.board.Config() == nil || !s.arbiters.HasStarted() {
 			c.Status(http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/entry/gateway/start.go
+++ b/internal/entry/gateway/start.go
@@ -18,7 +18,7 @@
 // itself as the arbiter of every pool. It returns the refusal of a request that must not wait any longer: another host
 // may serve it.
 func (s *Server) awaitStart(caller context.Context, r *request) error {
-	if s.hasStarted() {
+	if s.board.HasJoined() && s.arbiters.HasStarted() {
 		return nil
 	}
 	s.awaitingStart.Add(1)
@@ -58,8 +58,5 @@
 	return ctx.Err() == nil || s.board.HasJoined()
 }
 
-// hasStarted reports whether requests need not wait for the start of this host any more.
-func (s *Server) hasStarted() bool { return s.board.HasJoined() && s.arbiters.HasStarted() }
-
 // AwaitingStart returns the number of requests that wait until this host may register them with an arbiter.
 func (s *Server) AwaitingStart() int64 { return s.awaitingStart.Load() }
--- a/internal/entry/gateway/start_test.go
+++ b/internal/entry/gateway/start_test.go
@@ -73,6 +73,14 @@
 	}, 2*time.Second, 10*time.Millisecond)
 }
 
+// TestHostThatDoesNotWaitForOthersIsReady starts a host that serves without the others if it does not reach them.
+func TestHostThatDoesNotWaitForOthersIsReady(t *testing.T) {
+	s := newSiteOn(t, board.New(board.Member{Name: "entry-1"}), 0, answerWith(http.StatusOK, "answer"))
+	status, _ := get(s.server.ReadinessHandler(), "/ready")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, http.StatusOK, s.send("GET", "/read/x", "").status)
+}
+
 // TestLateRequestsOfAHostThatHasNotJoinedWaitShortly guards against callers that wait in vain, each for as long as the
 // first ones, at a host that cannot join for a long time.
 func TestLateRequestsOfAHostThatHasNotJoinedWaitShortly(t *testing.T) {
