gateway: a caller that waits for the start of a host keeps half of its time

Callers with a short deadline got their refusal 20 ms before it, too late to try another host; beside load it came after it. Cause: the wait for the start ended at the deadline less the least time in which a request is still sent. Ruled out: a wait that does not end (the answer was the refusal, a moment too late). Change: the wait ends when half of the caller's time is over; the bound of the test stays as it is.

--- a/internal/entry/gateway/start.go
+++ b/internal/entry/gateway/start.go
@@ -40,8 +40,9 @@
 	if shortest := r.arrived.Add(joinTimeout); deadline.Before(shortest) {
 		deadline = shortest
 	}
-	if callerDeadline := r.arrived.Add(r.info.Timeout - minTimeLeft); r.info.Timeout > 0 && callerDeadline.Before(deadline) {
-		deadline = callerDeadline
+	// A refused caller needs time to try another host.
+	if halfTime := r.arrived.Add(r.info.Timeout / 2); r.info.Timeout > 0 && halfTime.Before(deadline) {
+		deadline = halfTime
 	}
 	return deadline
 }
