http1: a write that has just ended does not make an answer uncertain

Callers beside load would have got an error for a whole answer without a frame: on a busy host the end of the writing is noticed later than the answer that follows it. Cause: a connection with a write under way counted as failed, and the writer had not run since the target had its bytes. For the same reason the 50 ms for the end of the writing were short; they stay for the reuse of connections, where only speed hangs on them. Ruled out: a failed write (none is recorded then).

--- a/internal/fleet/passthrough/answer.go
+++ b/internal/fleet/passthrough/answer.go
@@ -74,7 +74,7 @@
 	if b.response.Close || b.connection.singleUse || b.connection.skipped || b.connection.reader.Buffered() > 0 || forbidsReuse(b.response.Header) {
 		return false
 	}
-	return b.written.Await() == nil
+	return b.written.Await(http1.ReuseWait) == nil
 }
 
 // forbidsReuse reports whether a Keep-Alive header names a timeout of zero or no further request.
--- a/internal/peer/http1/end.go
+++ b/internal/peer/http1/end.go
@@ -13,8 +13,13 @@
 // may be a part only.
 var ErrUncertainEnd = errors.New("the answer may have been cut")
 
-// writeEndWait bounds the wait for the end of the writing of a call whose answer is complete.
-const writeEndWait = 50 * time.Millisecond
+const (
+	// ReuseWait bounds the wait for the end of the writing of a call before its connection is used again.
+	ReuseWait = 50 * time.Millisecond
+	// endWait bounds the wait for it at the end of a body without a frame. On a busy host, the writing of a call may be
+	// noticed later than its answer.
+	endWait = 500 * time.Millisecond
+)
 
 // IsFramed reports whether a length, chunks or the protocol mark the end of the body of an answer. Otherwise it ends
 // with its connection.
@@ -47,9 +52,9 @@
 	return w.err
 }
 
-// Await waits until the whole call has been written, for a short time, and returns an error if it has not been.
-func (w *CallWrite) Await() error {
-	timeout := time.NewTimer(writeEndWait)
+// Await waits until the whole call has been written, for a limited time, and returns an error if it has not been.
+func (w *CallWrite) Await(limit time.Duration) error {
+	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	select {
 	case <-w.done:
@@ -65,7 +70,7 @@
 	if isFramed || !errors.Is(end, io.EOF) {
 		return end
 	}
-	if err := w.Await(); err != nil {
+	if err := w.Await(endWait); err != nil {
 		return fmt.Errorf("%w: %w", ErrUncertainEnd, err)
 	}
 	return end
--- a/internal/peer/http1/transport.go
+++ b/internal/peer/http1/transport.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"redwinglock/internal/peer/body"
 )
@@ -31,7 +32,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &connection{Conn: c}, nil
+		return newConnection(c), nil
 	}
 	return &Transport{base}
 }
@@ -57,15 +58,21 @@
 // connection records that a write has failed, which the library may not report.
 type connection struct {
 	net.Conn
-	// writing is the number of writes that have not ended.
-	writing atomic.Int32
-	failed  atomic.Bool
+	// idle holds a value while no write is under way.
+	idle   chan struct{}
+	failed atomic.Bool
+}
+
+func newConnection(c net.Conn) *connection {
+	idle := make(chan struct{}, 1)
+	idle <- struct{}{}
+	return &connection{Conn: c, idle: idle}
 }
 
 // Write implements io.Writer.
 func (c *connection) Write(p []byte) (int, error) {
-	c.writing.Add(1)
-	defer c.writing.Add(-1)
+	<-c.idle
+	defer func() { c.idle <- struct{}{} }()
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.failed.Store(true)
@@ -73,8 +80,19 @@
 	return n, err
 }
 
-// hasWritten reports whether all writes have ended without an error.
-func (c *connection) hasWritten() bool { return c.writing.Load() == 0 && !c.failed.Load() }
+// hasWritten waits for a write that is under way, for a limited time, and reports whether all writes have ended without
+// an error.
+func (c *connection) hasWritten() bool {
+	timeout := time.NewTimer(endWait)
+	defer timeout.Stop()
+	select {
+	case <-c.idle:
+		c.idle <- struct{}{}
+		return !c.failed.Load()
+	case <-timeout.C:
+		return false
+	}
+}
 
 // call is the state of one call. The library calls its trace in several goroutines.
 type call struct {
