--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -59,7 +59,7 @@
 			return err
 		}
 		s.common.CountRetry("target-lost")
-		r.log.WithError(err).WithFields(logrus.Fields{"attempt": attempt, "tried": r.tried, "events": a.events.count}).Info("Request sent again.")
+		r.log.WithError(err).WithFields(logrus.Fields{"attempt": attempt, "tried": r.tried, "events": a.events.count, "request-digest": r.fingerprint().String()}).Info("Request sent again.")
 	}
 }
 
--- a/internal/peer/front/prefixes.go
+++ b/internal/peer/front/prefixes.go
@@ -38,9 +38,14 @@
 	s.sendPrefix(now, n)
 }
 
-// reportCrash logs and counts a crash of a target that broke requests.
+// reportCrash logs and counts a crash of a target that broke requests, or connections that broke without one.
 func (s *Server) reportCrash(pool object.PoolName, c quarantine.Crash) {
 	metrics := s.common.Metrics.Tagged(map[string]string{"pool": string(pool)})
+	if c.Unexplained {
+		metrics.Counter("target_breaks_unexplained").Inc(1)
+		s.log.WithFields(logrus.Fields{"pool": pool, "target": c.Target, "broken": c.Broken}).Info("Broken connections to a target are not explained.")
+		return
+	}
 	metrics.Counter("target_crashes").Inc(1)
 	metrics.Counter("requests_broken_by_crashes").Inc(int64(c.Broken))
 	s.log.WithFields(logrus.Fields{
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -40,6 +40,9 @@
 // different requests.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // Register registers a request with the arbiter. A front sends it for a new request, and again for
 // each unfinished request when the arbiter of the pool changes.
 type Register struct {
--- a/internal/pool/quarantine/crash.go
+++ b/internal/pool/quarantine/crash.go
@@ -23,9 +23,11 @@
 	minBroken = 2
 )
 
-// Crash is a confirmed crash of a target.
+// Crash is a confirmed crash of a target, or a group of broken connections that no crash has explained in time.
 type Crash struct {
 	Target object.TargetName
+	// Unexplained is set if nothing has shown that the target ended, or that it still runs.
+	Unexplained bool
 	// Broken is the number of requests whose connections the crash broke, Begun the number of them whose answers had
 	// begun.
 	Broken, Begun int
@@ -159,8 +161,12 @@
 
 func (t *Tracker) expireBreaks(now time.Time) {
 	for target, b := range t.breaks {
-		if now.Sub(b.at) > confirmWithin {
-			delete(t.breaks, target)
+		if now.Sub(b.at) <= confirmWithin {
+			continue
+		}
+		delete(t.breaks, target)
+		if !b.isConfirmed {
+			t.crashes = append(t.crashes, Crash{Target: target, Unexplained: true, Broken: len(b.broken)})
 		}
 	}
 }
