--- a/internal/control/discovery/heldprefixes.go
+++ b/internal/control/discovery/heldprefixes.go
@@ -41,14 +41,17 @@
 	d.board.SetPrefixRecord(pool, board.PrefixRecord{Position: i.Position, Held: held})
 }
 
-// DecodeHeldPrefixes returns the held prompt prefixes in the record of a pool.
+// DecodeHeldPrefixes returns the held prompt prefixes in the record of a pool, and the held and suspect requests.
 func DecodeHeldPrefixes(pool object.PoolName, data []byte) ([]wire.PrefixNotice, error) {
 	var held []wire.PrefixNotice
 	if err := json.Unmarshal(data, &held); err != nil {
 		return nil, fmt.Errorf("decode held prefixes: %w", err)
 	}
 	for n := range held {
-		held[n].Pool, held[n].State = pool, wire.PrefixHeld
+		held[n].Pool = pool
+		if held[n].Kind == wire.PrefixCause {
+			held[n].State = wire.PrefixHeld
+		}
 	}
 	return held, nil
 }
--- a/internal/control/heldprefix/controller.go
+++ b/internal/control/heldprefix/controller.go
@@ -1,9 +1,10 @@
-// Package heldprefix writes the prompt prefixes that are held to the platform's store, so that they stay
-// held after all hosts have ended at the same time. A record is replaced by compare-and-swap on its revision
-// only.
+// Package heldprefix writes the prompt prefixes that are held to the platform's store, and the requests that are held or
+// suspect, so that they stay so after all hosts have ended at the same time. A record is replaced by compare-and-swap on
+// its revision only.
 package heldprefix
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -101,30 +102,33 @@
 	return r.board.HasJoined() && !r.board.Stopping() && owner.Name == members.Self.Name
 }
 
-// heldByPool returns the held prefixes of each pool with notices, sorted. The list is empty if all have been
+// heldByPool returns what is stored of each pool with notices, sorted. The list is empty if all have been
 // released.
 func heldByPool(notices []wire.PrefixNotice) map[object.PoolName][]wire.PrefixNotice {
 	pools := map[object.PoolName][]wire.PrefixNotice{}
 	for _, n := range notices {
 		held := pools[n.Pool]
-		if n.State == wire.PrefixHeld {
+		if isStored(n) {
 			held = append(held, n)
 		}
 		pools[n.Pool] = held
 	}
 	for _, held := range pools {
 		slices.SortFunc(held, func(a, b wire.PrefixNotice) int {
-			if a.Prefix < b.Prefix {
-				return -1
-			}
-			return 1
+			return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Prefix, b.Prefix))
 		})
 	}
 	return pools
 }
 
+// isStored reports whether a notice belongs to the record of its pool. A request may crash so few targets that the crashes
+// before a loss of all hosts count.
+func isStored(n wire.PrefixNotice) bool {
+	return n.State == wire.PrefixHeld || n.Kind == wire.RequestCause && n.State == wire.PrefixSuspect
+}
+
 func sameVersions(a, b []wire.PrefixNotice) bool {
-	return slices.EqualFunc(a, b, func(x, y wire.PrefixNotice) bool { return x.Prefix == y.Prefix && x.Version == y.Version })
+	return slices.EqualFunc(a, b, func(x, y wire.PrefixNotice) bool { return x.Cause() == y.Cause() && x.Version == y.Version })
 }
 
 // write replaces the record of a pool, unless it has changed since it was read.
--- a/internal/control/heldprefix/controller_test.go
+++ b/internal/control/heldprefix/controller_test.go
@@ -114,3 +114,20 @@
 	require.False(t, r.update(context.Background(), now))
 	require.Zero(t, tree.revision)
 }
+
+// TestSuspectRequestsAreWritten guards against a request that crashes three targets more after each loss of all hosts.
+func TestSuspectRequestsAreWritten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tree := &fakeTree{items: map[string]store.Value{}}
+	r := newController(tree)
+	suspect := wire.PrefixNotice{Pool: "p", Kind: wire.RequestCause, Prefix: 7, Version: 1, State: wire.PrefixSuspect, Crashes: 2}
+	r.board.RecordPrefix(now, suspect)
+	require.True(t, r.update(context.Background(), now))
+	require.Equal(t, []wire.PrefixNotice{suspect}, tree.readBack(t, r.board))
+	now = now.Add(writeRetryDelay)
+	suspect.Version, suspect.State, suspect.Crashes, suspect.Checks = 2, wire.PrefixHeld, 3, 1
+	r.board.RecordPrefix(now, suspect)
+	r.board.RecordPrefix(now, held(7, 4)) // A prefix with the same number is another cause.
+	require.True(t, r.update(context.Background(), now))
+	require.ElementsMatch(t, []wire.PrefixNotice{held(7, 4), suspect}, tree.readBack(t, r.board))
+}
--- a/internal/entry/gateway/fingerprint.go
+++ b/internal/entry/gateway/fingerprint.go
@@ -1,23 +1,31 @@
 package gateway
 
 import (
-	"strconv"
 	"time"
 
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/quarantine"
 	"redwinglock/internal/state/digest"
 )
 
-// fingerprint returns a digest by which a caller's retry of a request is recognized. It covers the
-// account, the route, the method, the URI, the token counts and the body, but not the request id and
-// the time that the caller has left, which differ in a retry.
+// fingerprint returns a digest by which a request is recognized that its caller sends again. It covers the account, the
+// host name, the method, the URI and the body, but not what may differ in a retry, such as the request id, the time that
+// the caller has left and the last event that it has. It is computed once, as the body does not change.
 func (r *request) fingerprint() wire.Fingerprint {
+	if r.digest != 0 {
+		return r.digest
+	}
 	account := ""
 	if r.account != nil {
 		account = string(r.account.Name)
 	}
-	size := strconv.Itoa(r.info.PromptTokens) + "," + strconv.Itoa(r.info.OutputTokens)
-	return wire.Fingerprint(digest.OfContent(r.content(), account, string(r.route.Name), r.requestLine, size))
+	r.digest = wire.Fingerprint(digest.OfUntrusted(r.content(), account, r.hostName, r.requestLine))
+	return r.digest
+}
+
+// causes returns what the request may have in common with others that crash targets.
+func (r *request) causes() []wire.Cause {
+	return quarantine.CausesOf(r.info.Prefixes, r.fingerprint())
 }
 
 // callerTimeLeft returns how long the caller still waits, 0 if it did not set a timeout.
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -23,7 +23,7 @@
 	maxMovedTargets = 10
 	// rejectedRetryAfter is the retry hint if every target that was tried has refused the request.
 	rejectedRetryAfter = 300 * time.Millisecond
-	// heldRetryAfter is the retry hint of a request with a prompt prefix that crashes targets.
+	// heldRetryAfter is the retry hint of a request that crashes targets, itself or by a prefix of its prompt.
 	heldRetryAfter = 30 * time.Second
 	// minTimeLeft is the minimum time before the deadline at which a request is still sent.
 	minTimeLeft = 20 * time.Millisecond
@@ -99,10 +99,10 @@
 			ticket.Finish(wire.Finish{})
 			return attemptFinal, s.unsentFailure(a, errNotSentBeforeEnd())
 		}
-		if !ticket.Watched() && s.board.Prefixes().IsHeld(time.Now(), r.pool, r.info.Prefixes) {
-			// The grant is older than what this host knows of the prefix.
+		if cause, isHeld := s.board.Prefixes().HeldCause(time.Now(), r.pool, r.causes()); isHeld && !ticket.Watched() {
+			// The grant is older than what this host knows of the cause.
 			ticket.Finish(wire.Finish{})
-			return attemptFinal, s.unsentFailure(a, outcome.Refuse(outcome.PromptHeld, heldRetryAfter, "a part of the prompt crashes targets"))
+			return attemptFinal, s.unsentFailure(a, heldFailure(cause))
 		}
 		r.rateCounted = ticket.RateCounted()
 		target := s.findOpenTarget(r, name)
@@ -154,6 +154,14 @@
 	}
 }
 
+// heldFailure returns the refusal of a request with a held cause.
+func heldFailure(cause wire.Cause) error {
+	if cause.Kind == wire.RequestCause {
+		return outcome.Refuse(outcome.RequestHeld, heldRetryAfter, "the request crashes targets")
+	}
+	return outcome.Refuse(outcome.PromptHeld, heldRetryAfter, "a part of the prompt crashes targets")
+}
+
 // targetRefusals counts the targets that refused a request without running it.
 type targetRefusals struct{ full, moved int }
 
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -128,8 +128,10 @@
 	// deadline is the time by which the answer must be complete, set by the caller or the route.
 	deadline time.Time
 	body     *upload.Body // Nil until it has been read.
-	// requestLine is the method and the URI of the request.
-	requestLine string
+	// hostName is the name in the Host header, requestLine the method and the URI of the request.
+	hostName, requestLine string
+	// digest is the fingerprint of the request, 0 until it is needed.
+	digest wire.Fingerprint
 	// attempts counts the registrations of the request with the arbiter.
 	attempts int
 	// tried lists the targets that refused the request or may have run it.
@@ -197,7 +199,8 @@
 	if r.snapshot == nil {
 		return outcome.Refuse(outcome.NoConfiguration, noConfigurationRetryAfter, "this host has no configuration yet")
 	}
-	r.route = r.snapshot.RouteFor(hostName(c.Request.Host), c.Request.URL.EscapedPath())
+	r.hostName = hostName(c.Request.Host)
+	r.route = r.snapshot.RouteFor(r.hostName, c.Request.URL.EscapedPath())
 	if r.route == nil {
 		return outcome.Refuse(outcome.UnknownRoute, 0, "no route has this host and path")
 	}
--- a/internal/entry/gateway/held_test.go
+++ b/internal/entry/gateway/held_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinglock/internal/entry/upload"
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/state/object"
 )
 
 // TestHeldPrefixIsNotSent records that a prompt prefix is held after the arbiter of the pool has started.
@@ -37,3 +39,36 @@
 		})
 	}
 }
+
+// TestHeldRequestIsNotSent records that one request is held, in another pool than the one that it comes to. Other
+// requests of the same account and route are sent.
+func TestHeldRequestIsNotSent(t *testing.T) {
+	rows := []struct {
+		name, path, body, prefixes string
+		held                       bool
+	}{
+		{"the held request", "/resumed/x", "prompt", "", true},
+		{"the held request with other parts", "/resumed/x", "prompt", "1,9,100", true},
+		{"another body", "/resumed/x", "another", "", false},
+		{"another path", "/resumed/y", "prompt", "", false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, events(1, 3, false))
+			require.Equal(t, http.StatusOK, s.send("POST", "/resumed/x", "prompt").status)
+			held := request{account: &object.Account{Name: "a"}, hostName: "127.0.0.1", requestLine: "POST /resumed/x", body: &upload.Body{Bytes: []byte("prompt")}}
+			s.board.RecordPrefix(time.Now(), wire.PrefixNotice{
+				Pool: "another", Kind: wire.RequestCause, Prefix: wire.PrefixHash(held.fingerprint()), Version: 1, State: wire.PrefixHeld,
+			})
+			got := s.send("POST", row.path, row.body, "Prefixes", row.prefixes)
+			if !row.held {
+				require.Equal(t, http.StatusOK, got.status)
+				return
+			}
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.Equal(t, 1, s.runs()[0])
+			require.Equal(t, "30.000", got.header.Get("Retry-After"))
+			require.Contains(t, got.body, "request-held")
+		})
+	}
+}
--- a/internal/entry/gateway/prefixes.go
+++ b/internal/entry/gateway/prefixes.go
@@ -12,17 +12,19 @@
 	"redwinglock/internal/state/object"
 )
 
-// Paths of the operators' calls about prompt prefixes that crash targets.
+// Paths of the operators' calls about prompt prefixes and requests that crash targets.
 const (
 	PrefixesPath       = "/prefixes"
 	ReleasePrefixPath  = "/prefixes/release"
 	maxReleaseBodySize = 4 << 10
 )
 
-// PrefixState is what a host knows about one prompt prefix.
+// PrefixState is what a host knows about one prompt prefix, or one request, that may crash targets.
 type PrefixState struct {
 	Pool object.PoolName `json:"pool"`
-	// Prefix is the hash of the prefix in hexadecimal, as in the logs.
+	// Kind is "request" for a request, and empty for a prefix.
+	Kind wire.CauseKind `json:"kind,omitempty"`
+	// Prefix is the hash of the prefix or of the request in hexadecimal, as in the logs.
 	Prefix  string           `json:"prefix"`
 	State   wire.PrefixState `json:"state"`
 	Crashes int              `json:"crashes"`
@@ -53,7 +55,7 @@
 func (s *Server) listPrefixes(c *gin.Context) {
 	states := []PrefixState{}
 	for _, n := range s.board.Prefixes().Notices(time.Now()) {
-		states = append(states, PrefixState{n.Pool, n.Prefix.String(), n.State, n.Crashes, n.NextCheckMS})
+		states = append(states, PrefixState{n.Pool, n.Kind, n.Prefix.String(), n.State, n.Crashes, n.NextCheckMS})
 	}
 	c.JSON(http.StatusOK, states)
 }
@@ -78,17 +80,17 @@
 	for _, n := range s.board.Prefixes().Notices(time.Now()) {
 		if n.Pool == release.Pool && n.Prefix == wire.PrefixHash(hash) && n.State != wire.PrefixCleared {
 			s.announceRelease(n)
-			c.JSON(http.StatusOK, PrefixState{Pool: n.Pool, Prefix: n.Prefix.String(), State: wire.PrefixCleared})
+			c.JSON(http.StatusOK, PrefixState{Pool: n.Pool, Kind: n.Kind, Prefix: n.Prefix.String(), State: wire.PrefixCleared})
 			return
 		}
 	}
 	c.JSON(http.StatusNotFound, prefixProblem{"prefix: " + release.Prefix + " of pool " + string(release.Pool) + " is not held"})
 }
 
-// announceRelease tells this host and the arbiter that requests with a prefix may be sent again.
+// announceRelease tells this host and the arbiter that requests with a cause may be sent again.
 func (s *Server) announceRelease(n wire.PrefixNotice) {
-	released := wire.PrefixNotice{Pool: n.Pool, Prefix: n.Prefix, Version: n.Version + 1, State: wire.PrefixCleared}
-	s.log.WithField("pool", n.Pool).WithField("prefix", n.Prefix.String()).Warn("Prompt prefix released by an operator.")
+	released := wire.PrefixNotice{Pool: n.Pool, Kind: n.Kind, Prefix: n.Prefix, Version: n.Version + 1, State: wire.PrefixCleared}
+	s.log.WithField("pool", n.Pool).WithField("prefix", n.Prefix.String()).WithField("kind", n.Kind).Warn("Prompt prefix released by an operator.")
 	s.board.RecordPrefix(time.Now(), released)
 	s.arbiters.NotifyPrefix(released)
 }
--- a/internal/entry/gateway/registration.go
+++ b/internal/entry/gateway/registration.go
@@ -29,6 +29,7 @@
 		PromptTokens: max(r.info.PromptTokens, 1),
 		OutputTokens: r.info.OutputTokens,
 		Prefixes:     r.info.Prefixes,
+		Fingerprint:  r.fingerprint(),
 		DeadlineMS:   max(time.Until(r.deadline).Milliseconds(), 1),
 		Avoid:        r.tried,
 		Zone:         s.common.Settings.Zone,
@@ -46,7 +47,6 @@
 		w.DispatchWithinMS = sendLimit(left).Milliseconds()
 		w.MaxWaitMS = maxWait(r, objective).Milliseconds()
 		w.MayRetry = time.Until(r.deadline) > minRetryObjectives*objective
-		w.Fingerprint = r.fingerprint()
 		w.CallerWaitMS = r.callerTimeLeft().Milliseconds()
 	}
 	if resumed && r.route.EventGap > 0 {
@@ -54,7 +54,7 @@
 		w.DispatchWithinMS = time.Duration(r.route.EventGap).Milliseconds()
 		w.AnswerWithinMS = w.DispatchWithinMS
 		w.MayRetry = false
-		w.Fingerprint = 0
+		w.CallerWaitMS = 0 // The caller cannot retry it in the sense of a refusal.
 	}
 	if r.account != nil {
 		w.Account = r.account.Name
--- a/internal/peer/front/prefixes.go
+++ b/internal/peer/front/prefixes.go
@@ -11,7 +11,7 @@
 	"redwinglock/internal/state/object"
 )
 
-// forwardedPrefixes holds the notices about prompt prefixes that this arbiter has sent to its fronts.
+// forwardedPrefixes holds the notices about causes that this arbiter has sent to its fronts.
 type forwardedPrefixes struct {
 	mu   sync.Mutex
 	book *quarantine.Book
@@ -26,18 +26,34 @@
 	return f.book != before
 }
 
-// announcePrefix notifies all fronts of a prompt prefix that may crash targets, or no longer does. They
+// announcePrefix notifies all fronts of a cause that may crash targets, or no longer does. They
 // obey it also without an arbiter, and report it to the next one.
 func (s *Server) announcePrefix(now time.Time, n wire.PrefixNotice) {
 	s.board.RecordPrefix(now, n)
-	s.common.Metrics.Tagged(map[string]string{"state": string(n.State)}).Counter("prompt_prefix_states").Inc(1)
+	s.common.Metrics.Tagged(map[string]string{"state": string(n.State)}).Counter(stateCounter(n.Kind)).Inc(1)
 	s.log.WithFields(logrus.Fields{
-		"pool": n.Pool, "prefix": n.Prefix.String(), "state": n.State, "version": n.Version, "crashes": n.Crashes, "isolated": n.Isolated,
+		"pool": n.Pool, "kind": n.Kind, "prefix": n.Prefix.String(), "state": n.State, "version": n.Version, "crashes": n.Crashes, "isolated": n.Isolated,
 		"requests": n.Requests, "checks": n.Checks, "next-check-ms": n.NextCheckMS,
-	}).Warn("Prompt prefix changed its state.")
+	}).Warn(stateMessage(n.Kind))
 	s.sendPrefix(now, n)
 }
 
+// stateCounter returns the name of the counter of changes of the states of causes.
+func stateCounter(kind wire.CauseKind) string {
+	if kind == wire.RequestCause {
+		return "crashing_request_states"
+	}
+	return "prompt_prefix_states"
+}
+
+// stateMessage returns the log line about a change of the state of a cause.
+func stateMessage(kind wire.CauseKind) string {
+	if kind == wire.RequestCause {
+		return "Request that crashes targets changed its state."
+	}
+	return "Prompt prefix changed its state."
+}
+
 // reportCrash logs and counts a crash of a target that broke requests, or connections that broke without one.
 func (s *Server) reportCrash(pool object.PoolName, c quarantine.Crash) {
 	metrics := s.common.Metrics.Tagged(map[string]string{"pool": string(pool)})
@@ -53,7 +69,7 @@
 	}).Info("Target crashed.")
 }
 
-// recordPrefix records a notice about a prompt prefix that a front sends, and forwards it. The shard of the
+// recordPrefix records a notice about a cause that a front sends, and forwards it. The shard of the
 // pool learns it before the next request of the front.
 func (s *Server) recordPrefix(now time.Time, n wire.PrefixNotice) {
 	s.board.RecordPrefix(now, n)
--- a/internal/peer/front/prefixes_test.go
+++ b/internal/peer/front/prefixes_test.go
@@ -8,6 +8,7 @@
 
 	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/quarantine"
 	"redwinglock/internal/state/board"
 	"redwinglock/internal/state/common"
 )
@@ -38,7 +39,8 @@
 	later := s.Attach("later", boxes[2], notice.Digests{})
 	require.Equal(t, []wire.PrefixNotice{n}, prefixesIn(boxes[2]))
 	prefixes := []wire.PrefixHash{7, 8}
-	require.True(t, b.Prefixes().IsHeld(time.Now(), "p", prefixes))
+	_, isHeld := b.Prefixes().HeldCause(time.Now(), "p", quarantine.CausesOf(prefixes, 0))
+	require.True(t, isHeld)
 
 	later.Handle(wire.Up{Register: &wire.Register{ID: "r", Pool: "p", Account: "a", Tier: "urgent", Prefixes: prefixes, Phase: wire.Waiting}})
 	batch, _ := boxes[2].Drain()
--- a/internal/peer/front/worker.go
+++ b/internal/peer/front/worker.go
@@ -88,10 +88,11 @@
 	w.applyDecisions(now, w.shard.Configure(now, current.snapshot, current.hosts.LeavingTargets))
 }
 
-// learnPrefixes applies what this host knows about the prompt prefixes of the pool. It needs the lock.
+// learnPrefixes applies what this host knows about the prompt prefixes of the pool, and about requests of any pool, which
+// may come to this one. It needs the lock.
 func (w *worker) learnPrefixes(now time.Time, book *quarantine.Book) {
 	for _, n := range book.Notices(now) {
-		if n.Pool == w.pool {
+		if n.Pool == w.pool || n.Kind == wire.RequestCause {
 			w.applyDecisions(now, w.shard.LearnPrefix(now, n))
 		}
 	}
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -193,24 +193,46 @@
 	Rate *RateNotice `json:"rate,omitempty"`
 }
 
-// PrefixState is what is known about a prompt prefix that may crash targets.
+// CauseKind is the kind of a Cause.
+type CauseKind string
+
+// The kinds of causes.
+const (
+	// PrefixCause is a prefix of prompts. It has no text, as builds that know no other kind write none.
+	PrefixCause CauseKind = ""
+	// RequestCause is one request that its caller sends again and again, by its fingerprint.
+	RequestCause CauseKind = "request"
+)
+
+// Cause is what requests that crash their targets may have in common.
+type Cause struct {
+	Kind CauseKind
+	Hash uint64
+}
+
+// String returns the hash in hexadecimal.
+func (c Cause) String() string { return strconv.FormatUint(c.Hash, 16) }
+
+// PrefixState is what is known about a cause that may crash targets.
 type PrefixState string
 
-// The states of a prefix.
+// The states of a cause.
 const (
-	// PrefixSuspect means that requests with the prefix run one at a time.
+	// PrefixSuspect means that requests with the cause run one at a time.
 	PrefixSuspect PrefixState = "suspect"
-	// PrefixHeld means that requests with the prefix are refused.
+	// PrefixHeld means that requests with the cause are refused.
 	PrefixHeld PrefixState = "held"
-	// PrefixCleared means that the prefix does not crash targets, or was released by an operator.
+	// PrefixCleared means that the cause does not crash targets, or was released by an operator.
 	PrefixCleared PrefixState = "cleared"
 )
 
-// PrefixNotice carries between hosts that requests with a prompt prefix crash targets. An arbiter sends it
-// to its fronts, which send it to the next arbiter.
+// PrefixNotice carries between hosts that requests with a cause crash targets. An arbiter sends it to its fronts,
+// which send it to the next arbiter.
 type PrefixNotice struct {
-	Pool   object.PoolName `json:"pool"`
-	Prefix PrefixHash      `json:"prefix"`
+	Pool object.PoolName `json:"pool"`
+	// Kind and Prefix are the cause. Earlier builds read any cause as a prefix, which no prompt has.
+	Kind   CauseKind  `json:"kind,omitempty"`
+	Prefix PrefixHash `json:"prefix"`
 	// Version increases with each change. The notice with the highest version applies.
 	Version int         `json:"version"`
 	State   PrefixState `json:"state"`
@@ -221,12 +243,15 @@
 	Requests int `json:"requests,omitempty"`
 	// ShareUnknown is true if the prefix was held before its share of all requests was known.
 	ShareUnknown bool `json:"share-unknown,omitempty"`
-	// Checks is the number of requests that were granted since the prefix is held. NextCheckMS is the time
-	// until the next one, 0 if there is none.
+	// Checks is the number of requests that were granted since the cause is held, or since a request has crashed as
+	// many targets as one may. NextCheckMS is the time until the next one, 0 if there is none.
 	Checks      int   `json:"checks,omitempty"`
 	NextCheckMS int64 `json:"next-check-ms,omitempty"`
 }
 
+// Cause returns the cause that the notice is about.
+func (n PrefixNotice) Cause() Cause { return Cause{n.Kind, uint64(n.Prefix)} }
+
 // Grant permits the front to dispatch a request to a target.
 type Grant struct {
 	Attempt int               `json:"attempt,omitempty"` // Of the registration.
@@ -239,7 +264,7 @@
 	// OthersUsed is how much of the quota of the account all other fronts have used in its last window,
 	// as far as the arbiter knows.
 	OthersUsed float64 `json:"others-used,omitempty"`
-	// Watch is true if a prefix of the request is suspect or held, and the arbiter grants it nevertheless.
+	// Watch is true if a cause of the request is suspect or held, and the arbiter grants it nevertheless.
 	Watch bool `json:"watch,omitempty"`
 }
 
--- a/internal/pool/quarantine/crash.go
+++ b/internal/pool/quarantine/crash.go
@@ -10,8 +10,10 @@
 
 const (
 	// confirmWithin is the time after a broken connection within which a sign that its target has ended
-	// confirms a crash.
-	confirmWithin = 3 * time.Second
+	// confirms a crash. The entry of a target that has crashed lapses only after some heartbeats.
+	confirmWithin = 10 * time.Second
+	// groupWithin is the time within which several broken connections, without another sign, are one crash.
+	groupWithin = 3 * time.Second
 	// refuteAfter is the time after a broken connection from which an answer of the target proves that it
 	// still runs. Answers from before a crash may be reported later than the crash.
 	refuteAfter = 100 * time.Millisecond
@@ -31,7 +33,7 @@
 	// Broken is the number of requests whose connections the crash broke, Begun the number of them whose answers had
 	// begun.
 	Broken, Begun int
-	// Blamed is the number of prefixes against which the crash may count.
+	// Blamed is the number of causes against which the crash may count.
 	Blamed int
 }
 
@@ -54,8 +56,11 @@
 	if a.End == Completed {
 		t.completed(now, a)
 	}
-	t.release(a.ID, a.Prefixes)
+	t.release(a.ID, a.Causes)
 	b := t.breaks[a.Target]
+	if a.End == Broken {
+		t.recordBreak(now, a.Causes)
+	}
 	if a.End != Broken {
 		if b != nil && !b.isConfirmed && a.End != Unknown && now.Sub(b.at) >= refuteAfter {
 			t.refute(now, a.Target)
@@ -63,6 +68,7 @@
 		return
 	}
 	if b == nil || now.Sub(b.at) > confirmWithin || b.isConfirmed && !a.GrantedAt.Before(b.at) {
+		t.dropBreaks(a.Target)
 		b = &breakage{at: now}
 		t.breaks[a.Target] = b
 	}
@@ -71,18 +77,18 @@
 		t.count(now, b, a) // Of a crash that was confirmed by another sign before all of its requests had ended.
 		return
 	}
-	t.delayNext(now.Add(unconfirmedGap), a.Prefixes)
-	if a.LeftAtTarget == 0 && len(b.broken) >= minBroken {
+	t.delayNext(now.Add(unconfirmedGap), a.Causes)
+	if a.LeftAtTarget == 0 && len(b.broken) >= minBroken && now.Sub(b.at) <= groupWithin {
 		t.confirm(now, a.Target)
 	}
 }
 
-// isolatedFor returns the prefixes for which a request is the only one that runs.
-func (t *Tracker) isolatedFor(a Attempt) []wire.PrefixHash {
-	var isolated []wire.PrefixHash
-	for _, prefix := range candidates(a.Prefixes) {
-		if e := t.prefixes[prefix]; e != nil && e.running == a.ID {
-			isolated = append(isolated, prefix)
+// isolatedFor returns the causes for which a request is the only one that runs.
+func (t *Tracker) isolatedFor(a Attempt) []wire.Cause {
+	var isolated []wire.Cause
+	for _, cause := range a.Causes {
+		if e := t.causes[cause]; e != nil && e.running == a.ID {
+			isolated = append(isolated, cause)
 		}
 	}
 	return isolated
@@ -116,44 +122,61 @@
 // gone.
 func (t *Tracker) count(now time.Time, b *breakage, a Attempt) int {
 	t.exposure.broken++
+	t.resolveBreak(a.Causes)
 	blamed := 0
-	for _, prefix := range candidates(a.Prefixes) {
-		isIsolated := slices.Contains(a.isolatedFor, prefix)
-		if isIsolated && b.hasCounted(prefix, a.ID) || b.isExplained && !isIsolated {
+	for _, cause := range a.Causes {
+		if b.isExplained && !a.isIsolatedFor(cause) || b.hasCounted(cause, a) {
 			continue
 		}
 		blamed++
-		t.blame(now, prefix, a, len(b.broken))
+		t.blame(now, cause, a, len(b.broken))
 	}
 	return blamed
 }
 
-// hasCounted reports whether an earlier isolated request of the group has the prefix.
-func (b *breakage) hasCounted(prefix wire.PrefixHash, id wire.RequestID) bool {
-	for _, a := range b.broken {
-		if a.ID == id {
+// hasCounted reports whether the crash counts against a cause already, by an earlier request of the group: the same one, or
+// an isolated one like it.
+func (b *breakage) hasCounted(cause wire.Cause, a Attempt) bool {
+	for _, earlier := range b.broken {
+		if earlier.ID == a.ID {
 			return false
 		}
-		if slices.Contains(a.isolatedFor, prefix) {
+		isSame := cause.Kind == wire.RequestCause && slices.Contains(earlier.Causes, cause)
+		if isSame || a.isIsolatedFor(cause) && earlier.isIsolatedFor(cause) {
 			return true
 		}
 	}
 	return false
 }
 
+// isIsolatedFor reports whether the request ran as the only one with a cause.
+func (a Attempt) isIsolatedFor(cause wire.Cause) bool { return slices.Contains(a.isolatedFor, cause) }
+
 // refute drops the broken connections to a target that still runs.
 func (t *Tracker) refute(now time.Time, target object.TargetName) {
+	b := t.breaks[target]
+	t.dropBreaks(target)
+	for _, a := range b.broken {
+		t.delayNext(now, a.Causes)
+	}
+}
+
+// dropBreaks forgets the broken connections to a target.
+func (t *Tracker) dropBreaks(target object.TargetName) {
 	b := t.breaks[target]
 	delete(t.breaks, target)
+	if b == nil || b.isConfirmed {
+		return
+	}
 	for _, a := range b.broken {
-		t.delayNext(now, a.Prefixes)
+		t.resolveBreak(a.Causes)
 	}
 }
 
 // delayNext sets the time from which the next request with a suspect prefix may run.
-func (t *Tracker) delayNext(until time.Time, prefixes []wire.PrefixHash) {
-	for _, prefix := range candidates(prefixes) {
-		if e := t.prefixes[prefix]; e != nil {
+func (t *Tracker) delayNext(until time.Time, causes []wire.Cause) {
+	for _, cause := range causes {
+		if e := t.causes[cause]; e != nil {
 			e.nextAt = until
 		}
 	}
@@ -164,7 +187,7 @@
 		if now.Sub(b.at) <= confirmWithin {
 			continue
 		}
-		delete(t.breaks, target)
+		t.dropBreaks(target)
 		if !b.isConfirmed {
 			t.crashes = append(t.crashes, Crash{Target: target, Unexplained: true, Broken: len(b.broken)})
 		}
--- a/internal/pool/quarantine/evidence.go
+++ b/internal/pool/quarantine/evidence.go
@@ -19,70 +19,89 @@
 	return exposure{x.served - part.served, x.broken - part.broken}
 }
 
-// blame counts a crash against a prefix of a request that it broke, one of several.
-func (t *Tracker) blame(now time.Time, prefix wire.PrefixHash, a Attempt, broken int) {
-	e := t.evidenceOf(prefix)
+// blame counts a crash against a cause of a request that it broke, one of several.
+func (t *Tracker) blame(now time.Time, cause wire.Cause, a Attempt, broken int) {
+	e := t.evidenceOf(cause)
+	if cause.Kind == wire.RequestCause {
+		t.blameRequest(now, cause, e, a, broken)
+		return
+	}
+	t.blamePrefix(now, cause, e, a, broken)
+}
+
+func (t *Tracker) blamePrefix(now time.Time, cause wire.Cause, e *evidence, a Attempt, broken int) {
 	if e.state == wire.PrefixHeld {
 		e.crashes++
 		return
 	}
-	isIsolated := e.state == wire.PrefixSuspect && slices.Contains(a.isolatedFor, prefix)
+	isIsolated := e.state == wire.PrefixSuspect && slices.Contains(a.isolatedFor, cause)
 	if !isIsolated && (e.state == wire.PrefixSuspect || now.Sub(e.lastCrashAt) < minCrashGap) {
 		return
 	}
 	if t.isCommon(e) {
-		t.clear(now, prefix)
+		t.clear(now, cause)
 		return
 	}
-	if last := a.Prefixes[len(a.Prefixes)-1]; len(e.requests) < minRequests && !slices.Contains(e.requests, last) {
-		e.requests = append(e.requests, last)
+	if len(e.requests) < minRequests && !slices.Contains(e.requests, a.Prompt) {
+		e.requests = append(e.requests, a.Prompt)
 	}
 	e.crashes++
 	e.lastCrashAt, e.updatedAt = now, now
 	if isIsolated {
-		e.isolated++
-		e.own.broken += broken
-		e.own.served += a.duration
-		e.nextAt = now.Add(isolatedGap)
+		e.recordIsolated(now, a, broken)
 	}
 	switch {
 	case isIsolated && t.isProven(e):
-		e.state, e.shareUnknown = wire.PrefixHeld, !t.isShareKnown(e)
-		e.scheduleCheck(now)
-		t.announce(now, prefix, e)
+		e.shareUnknown = !t.isShareKnown(e)
+		t.hold(now, cause, e)
 	case isIsolated:
-		t.announce(now, prefix, e)
+		t.announce(now, cause, e)
 	case e.crashes >= suspectCrashes:
 		e.state, e.suspectAt = wire.PrefixSuspect, now
 		e.isolated, e.own, e.before = 0, exposure{}, t.exposure
-		t.announce(now, prefix, e)
+		t.announce(now, cause, e)
 	}
 }
 
-// evidenceOf returns the evidence of a prefix, and creates it if needed.
-func (t *Tracker) evidenceOf(prefix wire.PrefixHash) *evidence {
-	e := t.prefixes[prefix]
+// recordIsolated records a crash by a request that ran as the only one with the cause.
+func (e *evidence) recordIsolated(now time.Time, a Attempt, broken int) {
+	e.isolated++
+	e.own.broken += broken
+	e.own.served += a.duration
+	e.nextAt = now.Add(isolatedGap)
+}
+
+// hold refuses the requests with a cause from now on.
+func (t *Tracker) hold(now time.Time, cause wire.Cause, e *evidence) {
+	e.state = wire.PrefixHeld
+	e.scheduleCheck(now)
+	t.announce(now, cause, e)
+}
+
+// evidenceOf returns the evidence of a cause, and creates it if needed.
+func (t *Tracker) evidenceOf(cause wire.Cause) *evidence {
+	e := t.causes[cause]
 	if e != nil {
 		return e
 	}
-	if len(t.prefixes) >= maxPrefixes {
+	if len(t.causes) >= maxCauses {
 		t.evictOne()
 	}
-	e = &evidence{arrivedBefore: t.arrived}
-	t.prefixes[prefix] = e
+	e = &evidence{kind: cause.Kind, arrivedBefore: t.arrived, before: t.exposure}
+	t.causes[cause] = e
 	return e
 }
 
-// evictOne removes a prefix that is neither suspect nor held, or any if there is none.
+// evictOne removes a cause that is neither suspect nor held, or any if there is none.
 func (t *Tracker) evictOne() {
-	var evicted wire.PrefixHash
-	for prefix, e := range t.prefixes {
-		evicted = prefix
+	var evicted wire.Cause
+	for cause, e := range t.causes {
+		evicted = cause
 		if !e.isolates() {
 			break
 		}
 	}
-	delete(t.prefixes, evicted)
+	delete(t.causes, evicted)
 }
 
 // isProven reports whether the isolated crashes of a prefix are too many to have met them by chance.
@@ -93,7 +112,13 @@
 	if e.isolated < minIsolated {
 		return false
 	}
-	return chanceOf(e.isolated, e.crashProbability(t.exposure.minus(e.before).minus(e.own))) <= maxErrorProbability
+	return t.isUnlikely(e)
+}
+
+// isUnlikely reports whether the isolated crashes of a cause are too many, or too soon, to have met them by chance.
+func (t *Tracker) isUnlikely(e *evidence) bool {
+	others := t.exposure.minus(e.before).minus(e.own)
+	return chanceOf(e.isolated, e.crashProbability(others)) <= maxErrorProbability
 }
 
 // crashProbability returns the probability that a request meets a crash by chance in the mean time after which the
--- a/internal/pool/quarantine/notice.go
+++ b/internal/pool/quarantine/notice.go
@@ -7,16 +7,16 @@
 	"redwinglock/internal/state/object"
 )
 
-// announce increments the version of a changed prefix and queues a notice for all hosts.
-func (t *Tracker) announce(now time.Time, prefix wire.PrefixHash, e *evidence) {
+// announce increments the version of a changed cause and queues a notice for all hosts.
+func (t *Tracker) announce(now time.Time, cause wire.Cause, e *evidence) {
 	e.version++
 	e.updatedAt = now
-	t.notices = append(t.notices, e.notice(now, t.pool, prefix))
+	t.notices = append(t.notices, e.notice(now, t.pool, cause))
 }
 
-func (e *evidence) notice(now time.Time, pool object.PoolName, prefix wire.PrefixHash) wire.PrefixNotice {
+func (e *evidence) notice(now time.Time, pool object.PoolName, cause wire.Cause) wire.PrefixNotice {
 	n := wire.PrefixNotice{
-		Pool: pool, Prefix: prefix, Version: e.version, State: e.state, Crashes: e.crashes, Isolated: e.isolated,
+		Pool: pool, Kind: cause.Kind, Prefix: wire.PrefixHash(cause.Hash), Version: e.version, State: e.state, Crashes: e.crashes, Isolated: e.isolated,
 		Requests: len(e.requests) + e.learnedRequests, Checks: e.checks, ShareUnknown: e.shareUnknown,
 	}
 	if !e.nextCheckAt.IsZero() {
@@ -41,12 +41,12 @@
 
 // Learn applies a notice of another host, unless a newer one is known.
 func (t *Tracker) Learn(now time.Time, n wire.PrefixNotice) {
-	e := t.evidenceOf(n.Prefix)
+	e := t.evidenceOf(n.Cause())
 	if !newer(n, e.version, e.state) {
 		return
 	}
 	learned := evidence{
-		state: n.State, version: n.Version, crashes: n.Crashes, isolated: n.Isolated, learnedRequests: n.Requests,
+		kind: n.Kind, state: n.State, version: n.Version, crashes: n.Crashes, unresolved: e.unresolved, isolated: n.Isolated, learnedRequests: n.Requests,
 		lastCrashAt: now, updatedAt: now, running: e.running, nextAt: e.nextAt, checks: n.Checks,
 		suspectAt: now, before: t.exposure, arrived: e.arrived, arrivedBefore: e.arrivedBefore, shareUnknown: n.ShareUnknown,
 	}
@@ -62,49 +62,57 @@
 	return n.Version > version || n.Version == version && n.State == wire.PrefixHeld && state != wire.PrefixHeld
 }
 
-// prefixKey identifies a prefix in a book.
-type prefixKey struct {
-	pool   object.PoolName
-	prefix wire.PrefixHash
+// causeKey identifies a cause in a book.
+type causeKey struct {
+	pool  object.PoolName
+	cause wire.Cause
 }
 
-// record is what a host knows about a prefix from a notice.
+// keyOf returns the key of a cause. A request is the same one in whatever pool it runs.
+func keyOf(pool object.PoolName, cause wire.Cause) causeKey {
+	if cause.Kind == wire.RequestCause {
+		pool = ""
+	}
+	return causeKey{pool, cause}
+}
+
+// record is what a host knows about a cause from a notice.
 type record struct {
 	notice     wire.PrefixNotice
 	recordedAt time.Time
 }
 
-// Book holds what a host knows about prefixes, for its own requests and for the next arbiter. It is
+// Book holds what a host knows about causes, for its own requests and for the next arbiter. It is
 // immutable. A nil book is empty.
 type Book struct {
-	records map[prefixKey]record
+	records map[causeKey]record
 }
 
 // With returns a book with a notice added and expired ones removed, or the same book if the notice adds
 // nothing.
 func (b *Book) With(now time.Time, n wire.PrefixNotice) *Book {
-	key := prefixKey{n.Pool, n.Prefix}
-	next := &Book{records: map[prefixKey]record{}}
+	key := keyOf(n.Pool, n.Cause())
+	next := &Book{records: map[causeKey]record{}}
 	if b != nil {
 		if known, found := b.records[key]; found && !newer(n, known.notice.Version, known.notice.State) {
 			return b
 		}
 		for other, r := range b.records {
-			if now.Sub(r.recordedAt) <= retentionOf(r.notice.State) {
+			if now.Sub(r.recordedAt) <= retentionOf(r.notice.Kind, r.notice.State) {
 				next.records[other] = r
 			}
 		}
 	}
-	if len(next.records) >= maxPrefixes {
+	if len(next.records) >= maxCauses {
 		next.evictOne()
 	}
 	next.records[key] = record{n, now}
 	return next
 }
 
-// evictOne removes a prefix that is not held, or any if all are held.
+// evictOne removes a cause that is not held, or any if all are held.
 func (b *Book) evictOne() {
-	var evicted prefixKey
+	var evicted causeKey
 	for key, r := range b.records {
 		evicted = key
 		if r.notice.State != wire.PrefixHeld {
@@ -114,19 +122,19 @@
 	delete(b.records, evicted)
 }
 
-// IsHeld reports whether requests with one of the prefixes must not be sent. It is not set while a check
-// of the prefix may be due, which the arbiter decides.
-func (b *Book) IsHeld(now time.Time, pool object.PoolName, prefixes []wire.PrefixHash) bool {
+// HeldCause returns the cause because of which a request must not be sent, and false if there is none. It is not set while
+// a check of the cause may be due, which the arbiter decides.
+func (b *Book) HeldCause(now time.Time, pool object.PoolName, causes []wire.Cause) (wire.Cause, bool) {
 	if b == nil || len(b.records) == 0 {
-		return false
+		return wire.Cause{}, false
 	}
-	for _, prefix := range candidates(prefixes) {
-		r, found := b.records[prefixKey{pool, prefix}]
-		if found && r.notice.State == wire.PrefixHeld && now.Sub(r.recordedAt) <= heldRetention {
-			return true
+	for _, cause := range causes {
+		r, found := b.records[keyOf(pool, cause)]
+		if found && r.notice.State == wire.PrefixHeld && now.Sub(r.recordedAt) <= retentionOf(cause.Kind, wire.PrefixHeld) {
+			return cause, true
 		}
 	}
-	return false
+	return wire.Cause{}, false
 }
 
 // Notices returns what is known as messages for another host.
@@ -137,7 +145,7 @@
 	var all []wire.PrefixNotice
 	for _, r := range b.records {
 		age := now.Sub(r.recordedAt)
-		if age > retentionOf(r.notice.State) {
+		if age > retentionOf(r.notice.Kind, r.notice.State) {
 			continue
 		}
 		n := r.notice
--- a/internal/pool/quarantine/notice_test.go
+++ b/internal/pool/quarantine/notice_test.go
@@ -13,6 +13,14 @@
 
 const testPool object.PoolName = "p"
 
+// prompt returns the causes of a request with the given parts of its prompt.
+func prompt(parts ...wire.PrefixHash) []wire.Cause { return CausesOf(parts, 0) }
+
+func isHeld(b *Book, now time.Time, pool object.PoolName, causes []wire.Cause) bool {
+	_, isHeld := b.HeldCause(now, pool, causes)
+	return isHeld
+}
+
 func held(prefix wire.PrefixHash, version int) wire.PrefixNotice {
 	return wire.PrefixNotice{Pool: testPool, Prefix: prefix, Version: version, State: wire.PrefixHeld, Crashes: 5, Isolated: 3, Requests: 3}
 }
@@ -46,11 +54,11 @@
 				require.Same(t, book, book.With(now, n), "a notice that is known changes nothing")
 				tracker.Learn(now, n)
 			}
-			prefixes := []wire.PrefixHash{1, 7, 99}
-			require.Equal(t, row.held, book.IsHeld(now, testPool, prefixes))
+			prefixes := prompt(1, 7, 99)
+			require.Equal(t, row.held, isHeld(book, now, testPool, prefixes))
 			require.Equal(t, row.held, tracker.IsHeld(now, prefixes))
-			require.False(t, book.IsHeld(now, "another", prefixes))
-			require.False(t, book.IsHeld(now, testPool, []wire.PrefixHash{1, 7}), "the last prefix belongs to the request itself")
+			require.False(t, isHeld(book, now, "another", prefixes))
+			require.False(t, isHeld(book, now, testPool, prompt(1, 7)), "the last prefix belongs to the request itself")
 			next := New(testPool)
 			for _, n := range book.Notices(now) {
 				next.Learn(now, n)
@@ -68,24 +76,24 @@
 	var book *Book
 	tracker.Learn(now, held(1, 1))
 	book = book.With(now, held(1, 1))
-	for i := range 3 * maxPrefixes {
+	for i := range 3 * maxCauses {
 		id := wire.RequestID(fmt.Sprint(i))
-		prefixes := []wire.PrefixHash{wire.PrefixHash(10 + i), wire.PrefixHash(1_000_000 + i)}
-		tracker.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: "t", End: Broken, LeftAtTarget: 1})
+		prefixes := prompt(wire.PrefixHash(10+i), wire.PrefixHash(1_000_000+i))
+		tracker.Ended(now, Attempt{ID: id, Causes: prefixes, Prompt: wire.PrefixHash(1_000_000 + i), Target: "t", End: Broken, LeftAtTarget: 1})
 		tracker.TargetEnded(now, "t")
 	}
-	for i := range maxPrefixes / 8 {
+	for i := range maxCauses / 8 {
 		book = book.With(now, wire.PrefixNotice{Pool: testPool, Prefix: wire.PrefixHash(10 + i), Version: 1, State: wire.PrefixSuspect})
 	}
-	require.LessOrEqual(t, len(tracker.prefixes), maxPrefixes)
-	require.True(t, tracker.IsHeld(now, []wire.PrefixHash{1, 2}))
-	require.True(t, book.IsHeld(now, testPool, []wire.PrefixHash{1, 2}))
+	require.LessOrEqual(t, len(tracker.causes), maxCauses)
+	require.True(t, tracker.IsHeld(now, prompt(1, 2)))
+	require.True(t, isHeld(book, now, testPool, prompt(1, 2)))
 	later := now.Add(observedRetention + 2*time.Second)
 	tracker.Expire(later)
-	require.Len(t, tracker.prefixes, 1, "only the held prefix is remembered for longer")
+	require.Len(t, tracker.causes, 1, "only the held prefix is remembered for longer")
 	require.Len(t, book.Notices(later), 1)
 	tracker.Expire(now.Add(heldRetention + 3*time.Second))
-	require.Empty(t, tracker.prefixes)
+	require.Empty(t, tracker.causes)
 }
 
 // TestHeldPrefixInUseIsNotForgotten refuses requests of a held prefix for hours.
@@ -97,20 +105,20 @@
 	for range 300 {
 		now = now.Add(time.Minute)
 		tracker.Expire(now)
-		require.True(t, tracker.IsHeld(now, []wire.PrefixHash{1, 2}))
+		require.True(t, tracker.IsHeld(now, prompt(1, 2)))
 		for _, n := range tracker.TakeNotices() {
 			book = book.With(now, n)
 		}
 	}
-	require.True(t, book.IsHeld(now, testPool, []wire.PrefixHash{1, 2}))
+	require.True(t, isHeld(book, now, testPool, prompt(1, 2)))
 }
 
 func TestCrashIsToldFromLostAnswers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	attempt := func(id wire.RequestID, left int) Attempt {
-		return Attempt{ID: id, Prefixes: []wire.PrefixHash{1, 2}, Target: "t", End: Broken, LeftAtTarget: left}
+		return Attempt{ID: id, Causes: prompt(1, 2), Target: "t", End: Broken, LeftAtTarget: left}
 	}
-	answered := Attempt{ID: "ok", Prefixes: []wire.PrefixHash{5, 6}, Target: "t", End: Completed, LeftAtTarget: 1}
+	answered := Attempt{ID: "ok", Causes: prompt(5, 6), Target: "t", End: Completed, LeftAtTarget: 1}
 	rows := []struct {
 		name   string
 		events func(tr *Tracker)
@@ -137,11 +145,11 @@
 			tracker := New(testPool)
 			row.events(tracker)
 			crashes := 0
-			if e := tracker.prefixes[1]; e != nil {
+			if e := tracker.causes[wire.Cause{Hash: 1}]; e != nil {
 				crashes = e.crashes
 			}
 			require.Equal(t, row.want, crashes)
-			require.Nil(t, tracker.prefixes[2], "the last prefix belongs to the request itself")
+			require.Nil(t, tracker.causes[wire.Cause{Hash: 2}], "the last prefix belongs to the request itself")
 		})
 	}
 }
@@ -160,6 +168,6 @@
 	book = book.With(now, held(2, 1))
 	tracker.Learn(now, held(1, 4))
 	book = book.With(now, held(1, 4))
-	require.False(t, tracker.IsHeld(now, []wire.PrefixHash{1, 9}))
-	require.False(t, book.IsHeld(now, testPool, []wire.PrefixHash{1, 9}))
+	require.False(t, tracker.IsHeld(now, prompt(1, 9)))
+	require.False(t, isHeld(book, now, testPool, prompt(1, 9)))
 }
--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -4,7 +4,7 @@
 //
 // A prefix is observed once a target has crashed while it ran a request with it. After crashes at different
 // times it is suspect: its requests run one at a time, until one of them is answered completely, which clears
-// the prefix, or enough of them have crashed their targets, too. Then it is held, and its requests are
+// the cause, or enough of them have crashed their targets, too. Then it is held, and its requests are
 // refused.
 package quarantine
 
@@ -38,28 +38,34 @@
 	// ambiguousDelay is the time for which requests with several suspect prefixes wait, so that requests with
 	// one of them tell first which one crashes targets.
 	ambiguousDelay = 700 * time.Millisecond
-	// isolatedGap is the time between two requests of a suspect prefix, so that targets can return.
+	// isolatedGap is the time between two requests of a suspect cause, so that targets can return.
 	isolatedGap = 150 * time.Millisecond
 
 	// observedRetention is how long a prefix is remembered after its last crash if it was never held or
 	// cleared, heldRetention how long a held one after the last request with it, and a cleared one.
 	observedRetention = time.Minute
 	heldRetention     = time.Hour
+	// requestRetention is how long a request is remembered after it has crashed a target or was last refused.
+	requestRetention = 24 * time.Hour
 	// announceInterval is the time between two notices that a held prefix is still requested.
 	announceInterval = 10 * time.Minute
-	// maxPrefixes limits the prefixes that are remembered.
-	maxPrefixes = 4096
+	// maxCauses limits the causes that are remembered.
+	maxCauses = 4096
 )
 
 // checkDelays are the times after which one request of a held prefix is granted to find out whether it
 // still crashes its target. After the last one, only an operator releases the prefix.
 var checkDelays = []time.Duration{time.Minute, 10 * time.Minute}
 
-// evidence is what is known about one prefix.
+// evidence is what is known about one cause.
 type evidence struct {
+	kind    wire.CauseKind
 	state   wire.PrefixState
 	version int
 	crashes int
+	// unresolved is the number of broken runs of which it is not known yet whether their targets crashed. It is counted
+	// for requests only.
+	unresolved int
 	// lastCrashAt is when the last crash was counted.
 	lastCrashAt time.Time
 	// requests are the last prefixes of different requests that crashed targets. A last prefix belongs to
@@ -73,7 +79,7 @@
 	own, before exposure
 	// suspectAt is when the prefix became suspect.
 	suspectAt time.Time
-	// arrived is the number of requests with the prefix, and arrivedBefore that of all requests of the pool
+	// arrived is the number of requests with the cause, and arrivedBefore that of all requests of the pool
 	// before the first crash.
 	arrived, arrivedBefore int
 	// running is the only granted request with the prefix if it is suspect or held, empty if there is none.
@@ -93,7 +99,7 @@
 // End is how a request has ended at its target.
 type End int
 
-// The ends of requests. Only a completed answer proves that no prefix of the request crashes targets.
+// The ends of requests. Only a completed answer proves that no cause of the request crashes targets.
 const (
 	// Unknown means that the host or the caller ended the request.
 	Unknown End = iota
@@ -106,8 +112,10 @@
 
 // Attempt is a granted request that has ended at its target.
 type Attempt struct {
-	ID        wire.RequestID
-	Prefixes  []wire.PrefixHash
+	ID     wire.RequestID
+	Causes []wire.Cause
+	// Prompt is the last prefix of the prompt, which belongs to one request, 0 if there is none.
+	Prompt    wire.PrefixHash
 	Target    object.TargetName
 	GrantedAt time.Time
 	End       End
@@ -117,14 +125,14 @@
 	LeftAtTarget int
 	// duration is the time from the grant to the end.
 	duration time.Duration
-	// isolatedFor are the prefixes for which the request ran as the only one.
-	isolatedFor []wire.PrefixHash
+	// isolatedFor are the causes for which the request ran as the only one.
+	isolatedFor []wire.Cause
 }
 
 // Tracker holds the evidence of one pool. It is not safe for concurrent use.
 type Tracker struct {
-	pool     object.PoolName
-	prefixes map[wire.PrefixHash]*evidence
+	pool   object.PoolName
+	causes map[wire.Cause]*evidence
 	// breaks holds the broken connections to each target until it is known whether the target crashed.
 	breaks map[object.TargetName]*breakage
 	// isolatedAt holds the running request with a suspect prefix at each target that has one.
@@ -141,28 +149,19 @@
 // New creates a tracker without evidence.
 func New(pool object.PoolName) *Tracker {
 	return &Tracker{
-		pool: pool, prefixes: map[wire.PrefixHash]*evidence{}, breaks: map[object.TargetName]*breakage{},
+		pool: pool, causes: map[wire.Cause]*evidence{}, breaks: map[object.TargetName]*breakage{},
 		isolatedAt: map[object.TargetName]wire.RequestID{},
 	}
 }
 
-// candidates returns the prefixes of a request that it may share with others. The last one belongs to the
-// request itself.
-func candidates(prefixes []wire.PrefixHash) []wire.PrefixHash {
-	if len(prefixes) == 0 {
-		return nil
-	}
-	return prefixes[:len(prefixes)-1]
-}
-
 // Arrived counts a new request. A prefix that many requests have cannot be told from the cause of a crash.
-func (t *Tracker) Arrived(prefixes []wire.PrefixHash) {
+func (t *Tracker) Arrived(causes []wire.Cause) {
 	t.arrived++
-	if len(t.prefixes) == 0 {
+	if len(t.causes) == 0 {
 		return
 	}
-	for _, prefix := range candidates(prefixes) {
-		if e := t.prefixes[prefix]; e != nil {
+	for _, cause := range causes {
+		if e := t.causes[cause]; e != nil {
 			e.arrived++
 		}
 	}
@@ -180,27 +179,38 @@
 // arrivedSince returns the number of requests since the first crash of a prefix.
 func (t *Tracker) arrivedSince(e *evidence) int { return t.arrived - e.arrivedBefore }
 
-// IsHeld reports whether a request must be refused because of one of its prefixes.
-func (t *Tracker) IsHeld(now time.Time, prefixes []wire.PrefixHash) bool {
-	if len(t.prefixes) == 0 {
-		return false
+// IsHeld reports whether a request must be refused because of one of its causes.
+func (t *Tracker) IsHeld(now time.Time, causes []wire.Cause) bool {
+	_, isHeld := t.HeldCause(now, causes)
+	return isHeld
+}
+
+// HeldCause returns the cause because of which a request must be refused, and false if there is none.
+func (t *Tracker) HeldCause(now time.Time, causes []wire.Cause) (wire.Cause, bool) {
+	if len(t.causes) == 0 {
+		return wire.Cause{}, false
 	}
-	for _, prefix := range candidates(prefixes) {
-		e := t.prefixes[prefix]
-		if e == nil || e.state != wire.PrefixHeld || t.releaseCommon(now, prefix, e) {
+	for _, cause := range causes {
+		e := t.causes[cause]
+		if e == nil || !e.isHeld() || t.releaseCommon(now, cause, e) {
 			continue
 		}
 		if !e.checkDue(now) {
-			t.keepHeld(now, prefix, e)
-			return true
+			t.keepHeld(now, cause, e)
+			return cause, true
 		}
 	}
-	return false
+	return wire.Cause{}, false
+}
+
+// isHeld reports whether requests with the cause are refused, but for the checks.
+func (e *evidence) isHeld() bool {
+	return e.state == wire.PrefixHeld || e.isExhausted() && e.running == "" && e.unresolved == 0
 }
 
 // releaseCommon clears a prefix that was held before its share of all requests was known, if that share is too large. It
 // reports whether it did. Requests with a held prefix do not run, so nothing else would clear it.
-func (t *Tracker) releaseCommon(now time.Time, prefix wire.PrefixHash, e *evidence) bool {
+func (t *Tracker) releaseCommon(now time.Time, cause wire.Cause, e *evidence) bool {
 	if !e.shareUnknown || !t.isShareKnown(e) {
 		return false
 	}
@@ -208,7 +218,7 @@
 	if !t.isCommon(e) {
 		return false
 	}
-	t.clear(now, prefix)
+	t.clear(now, cause)
 	return true
 }
 
@@ -217,41 +227,55 @@
 }
 
 // keepHeld extends the time for which the hosts remember a held prefix that is still requested.
-func (t *Tracker) keepHeld(now time.Time, prefix wire.PrefixHash, e *evidence) {
+func (t *Tracker) keepHeld(now time.Time, cause wire.Cause, e *evidence) {
 	if now.Sub(e.updatedAt) >= announceInterval {
-		t.announce(now, prefix, e)
+		t.announce(now, cause, e)
 	}
 }
 
 // IsSuspect reports whether a request has a suspect or held prefix.
-func (t *Tracker) IsSuspect(prefixes []wire.PrefixHash) bool {
-	if len(t.prefixes) == 0 {
+func (t *Tracker) IsSuspect(causes []wire.Cause) bool {
+	if len(t.causes) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(candidates(prefixes), func(p wire.PrefixHash) bool {
-		e := t.prefixes[p]
+	return slices.ContainsFunc(causes, func(cause wire.Cause) bool {
+		e := t.causes[cause]
 		return e != nil && e.isolates()
 	})
 }
 
-// isolates reports whether requests with the prefix run one at a time.
+// isolates reports whether requests with the cause run one at a time. A request does from its second broken run on.
 func (e *evidence) isolates() bool {
+	if e.kind == wire.RequestCause && e.crashes+e.unresolved >= suspectCrashes {
+		return true
+	}
 	return e.state == wire.PrefixSuspect || e.state == wire.PrefixHeld
 }
 
+// mayRun reports whether a request with a cause that isolates may run now.
+func (e *evidence) mayRun(now time.Time) bool {
+	switch {
+	case e.running != "" || now.Before(e.nextAt):
+		return false
+	case e.state == wire.PrefixHeld:
+		return e.checkDue(now)
+	}
+	return !e.isExhausted() && !e.awaitsSigns()
+}
+
 // MayGrant reports whether a request may be granted now. Requests with a suspect prefix run one at a time.
-func (t *Tracker) MayGrant(now time.Time, prefixes []wire.PrefixHash) bool {
-	if len(t.prefixes) == 0 {
+func (t *Tracker) MayGrant(now time.Time, causes []wire.Cause) bool {
+	if len(t.causes) == 0 {
 		return true
 	}
 	isolating := 0
 	mayBeAmbiguous := true
-	for _, prefix := range candidates(prefixes) {
-		e := t.prefixes[prefix]
+	for _, cause := range causes {
+		e := t.causes[cause]
 		if e == nil || !e.isolates() {
 			continue
 		}
-		if e.running != "" || now.Before(e.nextAt) || e.state == wire.PrefixHeld && !e.checkDue(now) {
+		if !e.mayRun(now) {
 			return false
 		}
 		isolating++
@@ -261,13 +285,13 @@
 }
 
 // Granted records that a request is granted. It reports whether it has a suspect or held prefix.
-func (t *Tracker) Granted(now time.Time, id wire.RequestID, prefixes []wire.PrefixHash, target object.TargetName) bool {
-	if len(t.prefixes) == 0 {
+func (t *Tracker) Granted(now time.Time, id wire.RequestID, causes []wire.Cause, target object.TargetName) bool {
+	if len(t.causes) == 0 {
 		return false
 	}
 	watched := false
-	for _, prefix := range candidates(prefixes) {
-		e := t.prefixes[prefix]
+	for _, cause := range causes {
+		e := t.causes[cause]
 		if e == nil || !e.isolates() {
 			continue
 		}
@@ -275,10 +299,10 @@
 		e.running = id
 		t.isolatedAt[target] = id
 		e.nextAt = now.Add(isolatedGap)
-		if e.state == wire.PrefixHeld {
+		if e.countsGrants() {
 			e.checks++
 			e.scheduleCheck(now)
-			t.announce(now, prefix, e)
+			t.announce(now, cause, e)
 		}
 	}
 	return watched
@@ -295,46 +319,46 @@
 // completed clears the prefixes of a request that was answered completely: none of them crashes targets. A
 // request that was granted before a prefix became suspect is no proof for it: it may have begun long ago.
 func (t *Tracker) completed(now time.Time, a Attempt) {
-	for _, prefix := range candidates(a.Prefixes) {
-		e := t.prefixes[prefix]
+	for _, cause := range a.Causes {
+		e := t.causes[cause]
 		if e != nil && (!e.isolates() || e.running == a.ID || !a.GrantedAt.Before(e.suspectAt)) {
-			t.clear(now, prefix)
+			t.clear(now, cause)
 		}
 	}
 }
 
 // Withdrawn records that a granted request has ended in an unknown way.
-func (t *Tracker) Withdrawn(id wire.RequestID, prefixes []wire.PrefixHash) { t.release(id, prefixes) }
+func (t *Tracker) Withdrawn(id wire.RequestID, causes []wire.Cause) { t.release(id, causes) }
 
 // release lets the next request with the same suspect prefix run.
-func (t *Tracker) release(id wire.RequestID, prefixes []wire.PrefixHash) {
+func (t *Tracker) release(id wire.RequestID, causes []wire.Cause) {
 	maps.DeleteFunc(t.isolatedAt, func(_ object.TargetName, isolated wire.RequestID) bool { return isolated == id })
-	if len(t.prefixes) == 0 {
+	if len(t.causes) == 0 {
 		return
 	}
-	for _, prefix := range candidates(prefixes) {
-		if e := t.prefixes[prefix]; e != nil && e.running == id {
+	for _, cause := range causes {
+		if e := t.causes[cause]; e != nil && e.running == id {
 			e.running = ""
 		}
 	}
 }
 
 // clear removes the evidence against a prefix.
-func (t *Tracker) clear(now time.Time, prefix wire.PrefixHash) {
-	e := t.prefixes[prefix]
+func (t *Tracker) clear(now time.Time, cause wire.Cause) {
+	e := t.causes[cause]
 	switch {
 	case e == nil:
 		return
 	case e.state == wire.PrefixCleared:
 		e.crashes, e.requests = 0, nil
 		return
-	case !e.isolates():
-		delete(t.prefixes, prefix)
+	case e.state == "":
+		delete(t.causes, cause)
 		return
 	}
 	// A prefix that is common stays so: the arrivals are counted on.
-	*e = evidence{state: wire.PrefixCleared, version: e.version, arrived: e.arrived, arrivedBefore: e.arrivedBefore}
-	t.announce(now, prefix, e)
+	*e = evidence{kind: e.kind, state: wire.PrefixCleared, version: e.version, arrived: e.arrived, arrivedBefore: e.arrivedBefore, before: t.exposure}
+	t.announce(now, cause, e)
 }
 
 // Expire removes what has not changed for a long time. It is cheap to call often.
@@ -343,18 +367,23 @@
 		return
 	}
 	t.expiredAt = now
-	for prefix, e := range t.prefixes {
-		if now.Sub(e.updatedAt) > retentionOf(e.state) {
-			delete(t.prefixes, prefix)
+	for cause, e := range t.causes {
+		if now.Sub(e.updatedAt) > retentionOf(cause.Kind, e.state) {
+			delete(t.causes, cause)
 		}
 	}
 	t.expireBreaks(now)
 }
 
-// retentionOf returns how long a prefix is remembered after its last change.
-func retentionOf(state wire.PrefixState) time.Duration {
-	if state == wire.PrefixHeld || state == wire.PrefixCleared {
-		return heldRetention // A notice that is older than a release must not hold the prefix again.
+// retentionOf returns how long a cause is remembered after its last change.
+func retentionOf(kind wire.CauseKind, state wire.PrefixState) time.Duration {
+	switch {
+	case state == wire.PrefixCleared:
+		return heldRetention // A notice that is older than a release must not hold the cause again.
+	case kind == wire.RequestCause:
+		return requestRetention
+	case state == wire.PrefixHeld:
+		return heldRetention
 	}
 	return observedRetention
 }
--- a/internal/pool/quarantine/tracker_test.go
+++ b/internal/pool/quarantine/tracker_test.go
@@ -13,14 +13,14 @@
 )
 
 // crashWith lets one request with the prefixes crash its target, and lets other requests arrive before it.
-func crashWith(t *Tracker, now time.Time, number int, prefixes []wire.PrefixHash, others [][]wire.PrefixHash) {
+func crashWith(t *Tracker, now time.Time, number int, prefixes []wire.Cause, others [][]wire.Cause) {
 	for _, other := range others {
 		t.Arrived(other)
 	}
 	t.Arrived(prefixes)
 	id, target := wire.RequestID(fmt.Sprint(number)), object.TargetName(fmt.Sprint("t-", number))
 	t.Granted(now, id, prefixes, target)
-	t.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: target, GrantedAt: now, End: Broken})
+	t.Ended(now, Attempt{ID: id, Causes: prefixes, Prompt: wire.PrefixHash(number), Target: target, GrantedAt: now, End: Broken})
 	t.TargetEnded(now, target)
 }
 
@@ -42,20 +42,20 @@
 		t.Run(row.name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			tracker := New(testPool)
-			var others [][]wire.PrefixHash
+			var others [][]wire.Cause
 			for range row.othersWith {
-				others = append(others, []wire.PrefixHash{7, 50})
+				others = append(others, prompt(7, 50))
 			}
 			for range row.othersWithout {
-				others = append(others, []wire.PrefixHash{8, 50})
+				others = append(others, prompt(8, 50))
 			}
 			for i := range 12 {
 				now = now.Add(time.Second)
-				crashWith(tracker, now, i, []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, others)
+				crashWith(tracker, now, i, prompt(7, wire.PrefixHash(100+i)), others)
 			}
-			require.Equal(t, row.held, tracker.IsHeld(now, []wire.PrefixHash{7, 1}))
+			require.Equal(t, row.held, tracker.IsHeld(now, prompt(7, 1)))
 			if !row.held {
-				require.True(t, tracker.MayGrant(now.Add(time.Second), []wire.PrefixHash{7, 1}))
+				require.True(t, tracker.MayGrant(now.Add(time.Second), prompt(7, 1)))
 			}
 		})
 	}
@@ -66,16 +66,16 @@
 func TestPrefixOfAllRequestsIsNotHeldRightAfterItWasCleared(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tracker := New(testPool)
-	others := slices.Repeat([][]wire.PrefixHash{{7, 50}}, 10)
+	others := slices.Repeat([][]wire.Cause{prompt(7, 50)}, 10)
 	for i := range 3 {
 		now = now.Add(time.Second)
-		crashWith(tracker, now, i, []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, others)
+		crashWith(tracker, now, i, prompt(7, wire.PrefixHash(100+i)), others)
 	}
-	require.False(t, tracker.IsSuspect([]wire.PrefixHash{7, 1}), "cleared, as all requests have it")
+	require.False(t, tracker.IsSuspect(prompt(7, 1)), "cleared, as all requests have it")
 	for i := 3; i < 12; i++ {
 		now = now.Add(time.Second)
-		crashWith(tracker, now, i, []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, nil)
-		require.False(t, tracker.IsHeld(now, []wire.PrefixHash{7, 1}), "after crash %d", i)
+		crashWith(tracker, now, i, prompt(7, wire.PrefixHash(100+i)), nil)
+		require.False(t, tracker.IsHeld(now, prompt(7, 1)), "after crash %d", i)
 	}
 }
 
@@ -89,11 +89,11 @@
 	tracker.Learn(now, suspect)
 	for i := range minBroken {
 		now = now.Add(time.Second)
-		prefixes, id := []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, wire.RequestID(fmt.Sprint(i))
+		prefixes, id := prompt(7, wire.PrefixHash(100+i)), wire.RequestID(fmt.Sprint(i))
 		tracker.Arrived(prefixes)
 		require.True(t, tracker.MayGrant(now, prefixes))
 		tracker.Granted(now, id, prefixes, "t")
-		tracker.Ended(now, Attempt{ID: id, Prefixes: prefixes, Target: "t", GrantedAt: now, End: Broken})
+		tracker.Ended(now, Attempt{ID: id, Causes: prefixes, Prompt: wire.PrefixHash(100 + i), Target: "t", GrantedAt: now, End: Broken})
 	}
 	notices := tracker.TakeNotices()
 	require.Len(t, notices, 1)
@@ -106,10 +106,10 @@
 func TestSoundPrefixOfPoisonRequestsIsCleared(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tracker := New(testPool)
-	both, sound := []wire.PrefixHash{1, 7, 100}, []wire.PrefixHash{1, 101}
+	both, sound := prompt(1, 7, 100), prompt(1, 101)
 	for i := range 2 {
 		now = now.Add(time.Second)
-		crashWith(tracker, now, i, []wire.PrefixHash{1, 7, wire.PrefixHash(200 + i)}, nil)
+		crashWith(tracker, now, i, prompt(1, 7, wire.PrefixHash(200+i)), nil)
 	}
 	now = now.Add(time.Millisecond)
 	require.True(t, tracker.IsSuspect(sound))
@@ -117,7 +117,7 @@
 	require.False(t, tracker.MayGrant(now, both), "a crash would not tell which prefix caused it")
 	require.True(t, tracker.MayGrant(now, sound))
 	tracker.Granted(now, "sound", sound, "t")
-	tracker.Ended(now, Attempt{ID: "sound", Prefixes: sound, Target: "t", GrantedAt: now, End: Completed})
+	tracker.Ended(now, Attempt{ID: "sound", Causes: sound, Target: "t", GrantedAt: now, End: Completed})
 	require.False(t, tracker.IsSuspect(sound))
 	require.True(t, tracker.MayGrant(now, both))
 	require.True(t, tracker.MayGrant(now.Add(ambiguousDelay), both))
@@ -127,15 +127,15 @@
 // began.
 func TestAnswerFromBeforeTheCrashesIsNoProof(t *testing.T) {
 	now := time.Unix(1000, 0)
-	long := Attempt{ID: "long", Prefixes: []wire.PrefixHash{7, 99}, Target: "t", GrantedAt: now, End: Completed, LeftAtTarget: 1}
+	long := Attempt{ID: "long", Causes: prompt(7, 99), Target: "t", GrantedAt: now, End: Completed, LeftAtTarget: 1}
 	tracker := New(testPool)
 	for i := range 8 {
 		now = now.Add(time.Second)
-		crashWith(tracker, now, i, []wire.PrefixHash{7, wire.PrefixHash(200 + i)}, nil)
+		crashWith(tracker, now, i, prompt(7, wire.PrefixHash(200+i)), nil)
 	}
-	require.True(t, tracker.IsHeld(now, []wire.PrefixHash{7, 1}))
+	require.True(t, tracker.IsHeld(now, prompt(7, 1)))
 	tracker.Ended(now, long)
-	require.True(t, tracker.IsHeld(now, []wire.PrefixHash{7, 1}))
+	require.True(t, tracker.IsHeld(now, prompt(7, 1)))
 }
 
 // TestPrefixOfAllRequestsIsReleasedOnceItsShareIsKnown crashes the target of each request of a new tracker, as after a
@@ -147,21 +147,21 @@
 		t.Run(fmt.Sprint("others per crash ", othersPerCrash), func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			tracker, next := New(testPool), New(testPool)
-			others := slices.Repeat([][]wire.PrefixHash{{7, 50}}, othersPerCrash)
+			others := slices.Repeat([][]wire.Cause{prompt(7, 50)}, othersPerCrash)
 			for i := range 2 * minArrived {
 				now = now.Add(time.Second)
-				crashWith(tracker, now, i, []wire.PrefixHash{7, wire.PrefixHash(100 + i)}, others)
+				crashWith(tracker, now, i, prompt(7, wire.PrefixHash(100+i)), others)
 				for _, n := range tracker.TakeNotices() {
 					next.Learn(now, n)
 				}
-				isHeld := tracker.IsHeld(now, []wire.PrefixHash{7, 1})
+				isHeld := tracker.IsHeld(now, prompt(7, 1))
 				require.False(t, isHeld && tracker.arrived > 2*minArrived, "after crash %d", i)
 			}
-			require.False(t, tracker.IsHeld(now, []wire.PrefixHash{7, 1}), "all requests have it")
+			require.False(t, tracker.IsHeld(now, prompt(7, 1)), "all requests have it")
 			for range minArrived {
-				next.Arrived([]wire.PrefixHash{7, 1})
+				next.Arrived(prompt(7, 1))
 			}
-			require.False(t, next.IsHeld(now, []wire.PrefixHash{7, 1}), "all requests have it")
+			require.False(t, next.IsHeld(now, prompt(7, 1)), "all requests have it")
 		})
 	}
 }
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -33,7 +33,7 @@
 	}
 	existing.target.forgetNewParts(existing)
 	s.stopRunning(existing)
-	s.quarantine.Withdrawn(existing.ID, existing.Prefixes)
+	s.quarantine.Withdrawn(existing.ID, existing.causes)
 	s.enqueue(existing)
 }
 
@@ -49,7 +49,7 @@
 func (s *Shard) admit(now time.Time, q *request) {
 	s.requests[q.ID] = q
 	if q.Attempt <= 1 && !q.Moved && len(q.Avoid) == 0 {
-		s.quarantine.Arrived(q.Prefixes) // Others have been counted before.
+		s.quarantine.Arrived(q.causes) // Others have been counted before.
 	}
 	if s.refuseHeld(now, q) {
 		return
@@ -113,8 +113,8 @@
 		return s.Withdraw(now, f.ID)
 	}
 	t := q.target
-	if !f.Broken || !s.quarantine.IsSuspect(q.Prefixes) {
-		s.recordTrialAnswer(q, t, f) // A crash by a prefix is no verdict on a version.
+	if !f.Broken || !s.quarantine.IsSuspect(q.causes) {
+		s.recordTrialAnswer(q, t, f) // A crash by a request is no verdict on a version.
 	}
 	s.stopRunning(q)
 	s.removeRequest(q)
@@ -163,7 +163,7 @@
 	if q.target != nil {
 		q.target.forgetNewParts(q)
 		s.stopRunning(q)
-		s.quarantine.Withdrawn(q.ID, q.Prefixes)
+		s.quarantine.Withdrawn(q.ID, q.causes)
 	} else {
 		s.dequeue(q)
 		s.refundQuota(q)
--- a/internal/pool/shard/isolate.go
+++ b/internal/pool/shard/isolate.go
@@ -9,7 +9,7 @@
 	"redwinglock/internal/state/outcome"
 )
 
-// heldRetryAfter is the retry hint of a request with a held prefix. Its next attempt has no better chance.
+// heldRetryAfter is the retry hint of a request with a held cause. Its next attempt has no better chance.
 const heldRetryAfter = 30 * time.Second
 
 // isolate removes a waiting request from its queue until no other request with the same suspect prefix
@@ -35,10 +35,11 @@
 		return
 	}
 	for _, q := range slices.Clone(s.isolated) {
+		cause, isHeld := s.quarantine.HeldCause(now, q.causes)
 		switch {
-		case s.quarantine.IsHeld(now, q.Prefixes):
-			s.refuse(now, q, outcome.PromptHeld)
-		case s.quarantine.MayGrant(now, q.Prefixes):
+		case isHeld:
+			s.refuse(now, q, heldReason(cause))
+		case s.quarantine.MayGrant(now, q.causes):
 			s.dequeue(q)
 			s.enqueue(q)
 		}
@@ -54,15 +55,24 @@
 	}
 }
 
-// refuseHeld refuses a new request with a prefix that crashes targets, and reports whether it did.
+// heldReason returns the reason of the refusal of a request with a held cause.
+func heldReason(cause wire.Cause) outcome.Reason {
+	if cause.Kind == wire.RequestCause {
+		return outcome.RequestHeld
+	}
+	return outcome.PromptHeld
+}
+
+// refuseHeld refuses a new request with a cause that crashes targets, and reports whether it did.
 func (s *Shard) refuseHeld(now time.Time, q *request) bool {
-	if !s.quarantine.IsHeld(now, q.Prefixes) {
+	cause, isHeld := s.quarantine.HeldCause(now, q.causes)
+	if !isHeld {
 		return false
 	}
 	s.removeRequest(q)
-	s.countRefusal(q, outcome.PromptHeld)
+	s.countRefusal(q, heldReason(cause))
 	s.decisions = append(s.decisions, Refuse{
-		ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: outcome.PromptHeld, RetryAfter: heldRetryAfter, MayRetry: q.MayRetry,
+		ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: heldReason(cause), RetryAfter: heldRetryAfter, MayRetry: q.MayRetry,
 	})
 	return true
 }
@@ -70,16 +80,16 @@
 // recordAttempt passes the end of a request at its target to the quarantine.
 func (s *Shard) recordAttempt(now time.Time, q *request, t *target, f wire.Finish) {
 	if f.Unreachable {
-		s.quarantine.Withdrawn(q.ID, q.Prefixes)
+		s.quarantine.Unsent(now, q.ID, q.causes)
 		s.quarantine.TargetEnded(now, t.name)
 		return
 	}
 	if !f.Dispatched {
-		s.quarantine.Withdrawn(q.ID, q.Prefixes)
+		s.quarantine.Withdrawn(q.ID, q.causes)
 		return
 	}
 	s.quarantine.Ended(now, quarantine.Attempt{
-		ID: q.ID, Prefixes: q.Prefixes, Target: t.name, GrantedAt: q.grantedAt,
+		ID: q.ID, Causes: q.causes, Prompt: q.prompt(), Target: t.name, GrantedAt: q.grantedAt,
 		End: endOf(f), Begun: f.HasBegun(), LeftAtTarget: t.inFlight,
 	})
 }
@@ -97,7 +107,7 @@
 	return quarantine.Unknown
 }
 
-// LearnPrefix applies what another host knows about a prefix.
+// LearnPrefix applies what another host knows about a cause.
 func (s *Shard) LearnPrefix(now time.Time, n wire.PrefixNotice) []Decision {
 	s.quarantine.Learn(now, n)
 	return s.step(now)
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/quarantine"
 	"redwinglock/internal/state/object"
 )
 
 // request is one registered request.
 type request struct {
 	wire.Register
+	// causes are what the request may have in common with others that crash targets.
+	causes          []wire.Cause
 	tier            *tierQueue
 	account         *accountQueue
 	estimatedTokens int64 // Charged to the account when granted.
@@ -45,9 +48,9 @@
 	newParts     []wire.PrefixHash
 	// busierForCache is set if the chosen target is busier than another one, for what it holds.
 	busierForCache bool
-	// isolated is set while the request waits outside of the queues because of a suspect prefix.
+	// isolated is set while the request waits outside of the queues because of a suspect cause.
 	isolated bool
-	// suspect is set if a prefix of the request was suspect or held when a target was last sought for it.
+	// suspect is set if a cause of the request was suspect or held when a target was last sought for it.
 	suspect bool
 	// deferred is set while the request waits outside of the queues for a larger share of its quota.
 	deferred bool
@@ -68,6 +71,7 @@
 	waited := time.Duration(r.WaitedMS) * time.Millisecond
 	q := &request{
 		Register:        r,
+		causes:          quarantine.CausesOf(r.Prefixes, r.Fingerprint),
 		tier:            tier,
 		account:         tier.acquireAccount(r.Account, s.weight(r.Account)),
 		estimatedTokens: int64(r.PromptTokens + r.OutputTokens),
@@ -103,6 +107,14 @@
 	return q
 }
 
+// prompt returns the last prefix of the prompt, which belongs to the request itself, 0 if there is none.
+func (q *request) prompt() wire.PrefixHash {
+	if len(q.Prefixes) == 0 {
+		return 0
+	}
+	return q.Prefixes[len(q.Prefixes)-1]
+}
+
 func (s *Shard) weight(name object.AccountName) int64 {
 	if s.snapshot != nil {
 		if account := s.snapshot.Account(name); account != nil {
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -38,11 +38,11 @@
 		if q == nil {
 			return
 		}
-		if !s.quarantine.MayGrant(now, q.Prefixes) {
+		if !s.quarantine.MayGrant(now, q.causes) {
 			s.isolate(q)
 			continue
 		}
-		q.suspect = s.quarantine.IsSuspect(q.Prefixes)
+		q.suspect = s.quarantine.IsSuspect(q.causes)
 		t := s.place(now, q)
 		if t == nil {
 			s.countHeldBack(q)
@@ -75,7 +75,7 @@
 		s.countDiverted(q)
 		s.useConnection(now, q, t)
 		s.takeRate(now, t)
-		watch := s.quarantine.Granted(now, q.ID, q.Prefixes, t.name)
+		watch := s.quarantine.Granted(now, q.ID, q.causes, t.name)
 		s.countCached(q, t)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
@@ -150,7 +150,7 @@
 // refuse ends a waiting request with a reason and a suggested retry delay.
 func (s *Shard) refuse(now time.Time, q *request, reason outcome.Reason) {
 	retryAfter := s.retryAfter(now, q)
-	if reason == outcome.PromptHeld {
+	if reason == outcome.PromptHeld || reason == outcome.RequestHeld {
 		retryAfter = heldRetryAfter
 	}
 	s.dequeue(q)
--- a/internal/state/digest/digest.go
+++ b/internal/state/digest/digest.go
@@ -2,7 +2,11 @@
 // bits are uniformly distributed, so they can be used to order items and to assign them.
 package digest
 
-import "hash/fnv"
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash/fnv"
+)
 
 // Of returns the digest of a list of texts. It depends on where one text ends and the next
 // begins: Of("ab", "c") differs from Of("a", "bc").
@@ -17,16 +21,16 @@
 	return Mix(hash.Sum64())
 }
 
-// OfContent returns the digest of a list of texts and a content, without a copy of the content. It is the same as that of
-// Of with the content as the last text.
-func OfContent(content []byte, texts ...string) uint64 {
-	hash := fnv.New64a()
+// OfUntrusted returns the digest of a list of texts and of a content that a caller chooses. A caller cannot make a content
+// with the digest of another one.
+func OfUntrusted(content []byte, texts ...string) uint64 {
+	hash := sha256.New()
 	for _, text := range texts {
 		hash.Write([]byte(text))
 		hash.Write([]byte{0})
 	}
 	hash.Write(content)
-	return Mix(hash.Sum64())
+	return binary.BigEndian.Uint64(hash.Sum(nil))
 }
 
 // Mix mixes the bits of a number with the finalizer of SplitMix64. FNV alone mixes the last
--- a/internal/state/digest/digest_test.go
+++ b/internal/state/digest/digest_test.go
@@ -6,8 +6,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestContentIsTheLastText(t *testing.T) {
-	require.Equal(t, Of("a", "b", "content"), OfContent([]byte("content"), "a", "b"))
-	require.Equal(t, Of("a", ""), OfContent(nil, "a"))
-	require.NotEqual(t, Of("a", "bc"), OfContent([]byte("c"), "ab"))
+func TestTextsAndContentAreToldApart(t *testing.T) {
+	require.Equal(t, OfUntrusted([]byte("content"), "a", "b"), OfUntrusted([]byte("content"), "a", "b"))
+	require.Equal(t, OfUntrusted(nil, "a"), OfUntrusted([]byte{}, "a"))
+	for _, other := range []uint64{OfUntrusted([]byte("bc"), "a"), OfUntrusted([]byte("abc")), OfUntrusted(nil, "ab", "c"), OfUntrusted(nil, "abc")} {
+		require.NotEqual(t, OfUntrusted([]byte("c"), "ab"), other)
+	}
 }
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -53,6 +53,7 @@
 	TargetsFull           Reason = "targets-full"
 	TargetsRateLimited    Reason = "targets-rate-limited"
 	PromptHeld            Reason = "prompt-held"
+	RequestHeld           Reason = "request-held"
 	TargetRefused         Reason = "target-refused"
 	TargetLost            Reason = "target-lost"
 	TargetSilent          Reason = "target-silent"
@@ -85,6 +86,7 @@
 	TargetsFull:           http.StatusServiceUnavailable,
 	TargetsRateLimited:    http.StatusServiceUnavailable,
 	PromptHeld:            http.StatusServiceUnavailable,
+	RequestHeld:           http.StatusServiceUnavailable,
 	TargetRefused:         http.StatusBadGateway,
 	TargetLost:            http.StatusBadGateway,
 	TargetSilent:          http.StatusGatewayTimeout,
