Passthrough: a call that was sent is not reported as not sent

Cause: the library sends an idempotent call again if a kept connection breaks before the answer; the target has ended, so the second dial is refused, and that error alone was read: not sent, target unreachable. Ruled out: calls with a body, which have own connections and already report it. The transport now says that a call was written whatever failed last, so the attempt counts as one that may have run, and its break counts against the request.

--- a/internal/fleet/passthrough/client.go
+++ b/internal/fleet/passthrough/client.go
@@ -129,6 +129,8 @@
 	switch {
 	case err == nil:
 		return response, nil
+	case errors.Is(err, http1.ErrSent):
+		return nil, fmt.Errorf("send: %w", err)
 	case isDialError(err), errors.Is(err, ErrNotSent):
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/internal/peer/http1/end.go
+++ b/internal/peer/http1/end.go
@@ -46,6 +46,16 @@
 	})
 }
 
+// hasEnded reports whether the whole call has been written.
+func (w *CallWrite) hasEnded() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
 // Wait waits until the writing has ended, which it does once the connection is closed, and returns its error.
 func (w *CallWrite) Wait() error {
 	<-w.done
--- a/internal/peer/http1/transport.go
+++ b/internal/peer/http1/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -37,12 +38,16 @@
 	return &Transport{base}
 }
 
+// ErrSent is returned if a call has failed after it was written to a connection, whatever failed last: the library sends an
+// idempotent call again if a kept connection breaks, and may then find that nothing listens any more.
+var ErrSent = errors.New("the call was sent on a connection that broke")
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	c := &call{}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), c.trace())))
 	if err != nil {
-		return nil, err
+		return nil, c.failure(err)
 	}
 	if err := CheckHead(response); err != nil {
 		_ = response.Body.Close()
@@ -135,6 +140,18 @@
 	}
 }
 
+// failure returns the error of a call without an answer.
+func (c *call) failure(err error) error {
+	used, write := c.state()
+	if write == nil || !write.hasEnded() {
+		return err
+	}
+	if plain, ok := underlying(used).(*connection); ok && plain.failed.Load() {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrSent, err)
+}
+
 func (c *call) closeConnection() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
