--- a/internal/pool/quarantine/tracker.go
+++ b/internal/pool/quarantine/tracker.go
@@ -1,11 +1,10 @@
-// Package quarantine finds prompt prefixes that crash the targets that answer them, and decides which
-// requests with such a prefix may still be granted. It does no I/O: the caller passes in events and the
-// current time.
+// Package quarantine finds what crashes the targets that answer requests, and decides which requests with such a cause may
+// still be granted. A cause is a prefix of prompts, or one request that its caller sends again and again. The package does
+// no I/O: the caller passes in events and the current time.
 //
-// A prefix is observed once a target has crashed while it ran a request with it. After crashes at different
-// times it is suspect: its requests run one at a time, until one of them is answered completely, which clears
-// the cause, or enough of them have crashed their targets, too. Then it is held, and its requests are
-// refused.
+// A cause is observed once a target has crashed while it ran a request with it. After more crashes it is suspect: its
+// requests run one at a time, until one of them is answered completely, which clears the cause, or enough of them have
+// crashed their targets, too. Then it is held, and its requests are refused.
 package quarantine
 
 import (
