Streams: log who resumes which stream, and at which version

No change of a decision: the header that names the beginning of a stream is decoded, each resumption is logged and counted with who resumes, that id and the version, and the line of each answer has the version of its target. The tests of the gateway pass.

--- a/internal/entry/gateway/dialect.go
+++ b/internal/entry/gateway/dialect.go
@@ -43,6 +43,9 @@
 	PrefixTokens []int
 	// LastEventID is set when the caller resumes a stream.
 	LastEventID string
+	// Resumes is the id of the caller's request that brought the first event of the stream that it resumes, empty if not
+	// given.
+	Resumes string
 }
 
 // Tokens returns the size of the request in tokens, 0 if not given.
--- a/internal/entry/gateway/send.go
+++ b/internal/entry/gateway/send.go
@@ -53,6 +53,7 @@
 	}
 	s.dialect.WriteDispatch(call.Header, dispatch)
 	s.allowReuse(&call, r)
+	s.logResumption(r, target, a)
 	sentAt := time.Now()
 	response, err := s.targets.Do(sendCtx, call)
 	if errors.Is(err, passthrough.ErrNotSent) {
@@ -158,7 +159,7 @@
 		return
 	}
 	r.log.WithFields(s.stop.logFields(r)).WithFields(logrus.Fields{
-		"route": r.route.Name, "tier": r.tier(), "class": r.route.Tier, "target": target.Name, "status": response.StatusCode, "attempts": r.attempts, "rate-counted": r.rateCounted,
+		"route": r.route.Name, "tier": r.tier(), "class": r.route.Tier, "target": target.Name, "version": target.Generation, "status": response.StatusCode, "attempts": r.attempts, "rate-counted": r.rateCounted,
 		"framing": framingOf(response), "events": a.events.count, "bytes-after-last-event": len(a.events.partial),
 		"connection-reused": passthrough.IsReused(response), "connection-kept": f.ConnectionKept,
 		"waited-ms": sentAt.Sub(r.arrived).Milliseconds(), "first-ms": f.FirstTokenMS, "total-ms": now.Sub(r.arrived).Milliseconds(),
--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -31,7 +31,7 @@
 type testDialect struct{}
 
 func (testDialect) ReadRequest(h http.Header) (RequestInfo, error) {
-	d := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last-Event")}
+	d := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last-Event"), Resumes: h.Get("Resumes")}
 	if text := h.Get("Prefixes"); text != "" {
 		for part := range strings.SplitSeq(text, ",") {
 			hash, err := strconv.ParseUint(part, 10, 64)
