--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -172,6 +172,7 @@
 		route("write", "/write/", object.NonIdempotent, nil),
 		route("fixed", "/fixed/", object.Stream, nil),
 		route("resumed", "/resumed/", object.Stream, func(r *object.Route) { r.Resumable = true }),
+		route("once", "/once/", object.Stream, func(r *object.Route) { r.Resumable = true; r.MaxAttempts = 1 }),
 		route("brief", "/brief/", object.NonIdempotent, func(r *object.Route) { r.Timeout = object.Duration(150 * time.Millisecond) }),
 		route("short", "/short/", object.Stream, func(r *object.Route) { r.Timeout = object.Duration(400 * time.Millisecond) }),
 		route("public", "/public/", object.Idempotent, func(r *object.Route) { r.Public = true }),
