Streams go on only at the software version that began them

Cause: the version of a target was decoded and nobody read it; a resumption in one answer took any free target, and the header that names the beginning of a stream was not decoded. Ruled out: late entries (new targets have new ids), lost hosts alone (the gateway's tests lose none). Lost hosts are the second part: nothing outlived them. The arbiter records version and stream at each grant, which precedes the first event; while versions are mixed the store gets what is new ten times a second, and while there is one, any stream is of it. What is unknown is refused, not run. A waiting resumption keeps the place of its age and holds up no new stream. One copy of isArbiter instead of three.

--- a/internal/control/discovery/apply.go
+++ b/internal/control/discovery/apply.go
@@ -94,6 +94,10 @@
 		d.applyHeldPrefixes(i)
 	case i.Key == QuotaBurstsKey:
 		d.applyQuotaBursts(i)
+	case strings.HasPrefix(i.Key, versionsPrefix):
+		d.applyVersions(i)
+	case strings.HasPrefix(i.Key, streamsPrefix):
+		d.applyStreams(i)
 	}
 	return false
 }
--- a/internal/control/heldprefix/controller.go
+++ b/internal/control/heldprefix/controller.go
@@ -73,7 +73,7 @@
 
 // update writes the records that differ from what this host knows. It reports whether one still differs.
 func (r *Controller) update(ctx context.Context, now time.Time) bool {
-	if r.board.Prefixes() == nil || !r.isArbiter() {
+	if r.board.Prefixes() == nil || !r.board.IsArbiterOfDiscovered() {
 		return false
 	}
 	differs := false
@@ -95,13 +95,6 @@
 	return differs
 }
 
-// isArbiter reports whether this host is the arbiter of the discovered pools.
-func (r *Controller) isArbiter() bool {
-	members := r.board.Members()
-	owner := members.Owner(board.DiscoveredPools, nil, func(board.Member) bool { return true })
-	return r.board.HasJoined() && !r.board.Stopping() && owner.Name == members.Self.Name
-}
-
 // heldByPool returns what is stored of each pool with notices, sorted. The list is empty if all have been
 // released.
 func heldByPool(notices []wire.PrefixNotice) map[object.PoolName][]wire.PrefixNotice {
--- a/internal/control/host/gateway.go
+++ b/internal/control/host/gateway.go
@@ -19,6 +19,7 @@
 	"redwinglock/internal/control/member"
 	"redwinglock/internal/control/quotaburst"
 	"redwinglock/internal/control/rollout"
+	"redwinglock/internal/control/streamorigin"
 	"redwinglock/internal/entry/gateway"
 	"redwinglock/internal/entry/heads"
 	"redwinglock/internal/fleet/passthrough"
@@ -64,6 +65,7 @@
 			newHostList,
 			newRollouts,
 			newHeldPrefixes,
+			newStreamOrigins,
 			newQuotaBursts,
 			newGatewayMembership,
 			newFrontServer,
@@ -116,6 +118,12 @@
 	return r
 }
 
+func newStreamOrigins(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree) *streamorigin.Controller {
+	r := streamorigin.New(c, b, tree)
+	lc.Append(fx.StopHook(r.Close))
+	return r
+}
+
 func newQuotaBursts(lc fx.Lifecycle, c *common.Common, b *board.Board, tree store.Tree, arbiter *front.Server) *quotaburst.Controller {
 	r := quotaburst.New(c, b, tree, arbiter)
 	lc.Append(fx.StopHook(r.Close))
@@ -145,6 +153,7 @@
 	HostList  *discovery.HostList
 	Rollouts  *rollout.Controller
 	Prefixes  *heldprefix.Controller
+	Origins   *streamorigin.Controller
 	Bursts    *quotaburst.Controller
 	Arbiters  *front.Server
 	Gateway   *gateway.Server
--- a/internal/control/quotaburst/controller.go
+++ b/internal/control/quotaburst/controller.go
@@ -83,7 +83,7 @@
 
 // update writes the record if it differs from what the arbiter knows. It returns the time until the next update.
 func (r *Controller) update(ctx context.Context, now time.Time) time.Duration {
-	if !r.isArbiter() {
+	if !r.board.IsArbiterOfDiscovered() {
 		return removeInterval
 	}
 	excess := r.arbiter.QuotaBursts(now)
@@ -102,13 +102,6 @@
 	return writeRetryDelay
 }
 
-// isArbiter reports whether this host is the arbiter of the discovered pools.
-func (r *Controller) isArbiter() bool {
-	members := r.board.Members()
-	owner := members.Owner(board.DiscoveredPools, nil, func(board.Member) bool { return true })
-	return r.board.HasJoined() && !r.board.Stopping() && owner.Name == members.Self.Name
-}
-
 // write replaces the record, unless it has changed since it was read.
 func (r *Controller) write(ctx context.Context, position store.Position, excess map[object.AccountName]float64) error {
 	data, err := json.Marshal(excess)
--- a/internal/control/rollout/controller.go
+++ b/internal/control/rollout/controller.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		active++
-		if !r.isArbiter() || now.Sub(r.writtenAt[spec.Pool]) < writeRetryDelay {
+		if !r.board.IsArbiterOfDiscovered() || now.Sub(r.writtenAt[spec.Pool]) < writeRetryDelay {
 			continue
 		}
 		next := r.nextRecord(now, spec)
@@ -114,13 +114,6 @@
 	return active
 }
 
-// isArbiter reports whether this host is the arbiter of the discovered pools.
-func (r *Controller) isArbiter() bool {
-	members := r.board.Members()
-	owner := members.Owner(board.DiscoveredPools, nil, func(board.Member) bool { return true })
-	return r.board.HasJoined() && !r.board.Stopping() && owner.Name == members.Self.Name
-}
-
 // nextRecord returns the record that should replace the current one, or nil.
 func (r *Controller) nextRecord(now time.Time, spec *object.Rollout) *object.Rollout {
 	record := *spec
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -112,10 +112,23 @@
 			ticket.Decline()
 			continue
 		}
+		isItsVersion, err := s.checkVersion(r, ticket, target)
+		if err != nil {
+			ticket.Finish(wire.Finish{})
+			return attemptFinal, s.unsentFailure(a, err)
+		}
+		if !isItsVersion {
+			r.log.WithFields(logrus.Fields{"target": name, "version": target.Generation, "needs": r.version}).Info("Target declined: another version began the stream.")
+			ticket.Decline()
+			continue
+		}
 		if !ticket.Dispatch() {
 			continue // The grant is no longer valid; wait for the next one.
 		}
 		finish, err := s.send(ctx, caller, r, target, a)
+		if a.started {
+			r.bindVersion(target.Generation)
+		}
 		switch {
 		case err == nil:
 			ticket.Finish(finish)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -132,6 +132,9 @@
 	hostName, requestLine string
 	// digest is the fingerprint of the request, 0 until it is needed.
 	digest wire.Fingerprint
+	// version is that of the targets from which the rest of the answer must come, if the request is bound to one.
+	version object.Generation
+	isBound bool
 	// attempts counts the registrations of the request with the arbiter.
 	attempts int
 	// tried lists the targets that refused the request or may have run it.
--- a/internal/entry/gateway/registration.go
+++ b/internal/entry/gateway/registration.go
@@ -34,6 +34,7 @@
 		Avoid:        r.tried,
 		Zone:         s.common.Settings.Zone,
 	}
+	r.registerStream(&w)
 	if g := s.common.Settings.Gateway; g != nil && g.KeptPrompts {
 		w.PrefixTokens = r.info.PrefixTokens
 	}
--- a/internal/entry/gateway/site_test.go
+++ b/internal/entry/gateway/site_test.go
@@ -129,7 +129,7 @@
 		}))
 		t.Cleanup(server.Close)
 		s.targets = append(s.targets, target)
-		objects = append(objects, &object.Target{Name: object.TargetName(fmt.Sprintf("t-%d", i+1)), Pool: "p", Zone: "a", Address: server.URL, Slots: 4})
+		objects = append(objects, &object.Target{Name: object.TargetName(fmt.Sprintf("t-%d", i+1)), Pool: "p", Zone: "a", Address: server.URL, Slots: 4, Generation: "v1"})
 	}
 	s.board.SetConfig(testSnapshot(t).WithTargets(1, objects))
 	c := common.Discard()
--- a/internal/peer/arbiter/ticket.go
+++ b/internal/peer/arbiter/ticket.go
@@ -42,6 +42,8 @@
 	rateCounted bool
 	// watched is true if the arbiter has granted the request although one of its prefixes may crash targets.
 	watched bool
+	// resumption is what the latest grant says about the stream that the request continues, nil if it says nothing.
+	resumption *wire.Resumption
 	// staleGrantReturned is set once a grant was returned because it arrived or was used too late.
 	staleGrantReturned bool
 
@@ -84,6 +86,14 @@
 	return t.watched
 }
 
+// Resumption returns the version at which the request must continue a stream, by the latest grant, nil if the arbiter,
+// which may be of an earlier build, does not say.
+func (t *Ticket) Resumption() *wire.Resumption {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.resumption
+}
+
 // Preempted is closed when the arbiter cancels the request.
 func (t *Ticket) Preempted() <-chan struct{} { return t.preempt }
 
@@ -156,6 +166,7 @@
 	t.target = g.Target
 	t.rateCounted = g.RateCounted
 	t.watched = g.Watch
+	t.resumption = g.Resumption
 	t.client.usage.record(t.registration.Account, t.nextGrantCost)
 	t.client.usage.recordOthers(t.registration.Account, g.OthersUsed)
 	t.nextGrantCost = 0 // A request counts once, however often it is granted.
--- a/internal/peer/front/server.go
+++ b/internal/peer/front/server.go
@@ -146,6 +146,7 @@
 		return w
 	}
 	w = newWorker(pool, s.quotas, seedOf(s.board.Members().Self.Run), s.announcePrefix, s.reportCrash)
+	w.shard.SetOrigins(s.board.Origins(pool))
 	if g := s.common.Settings.Gateway; g != nil {
 		w.shard.SetRolloutLimits(shard.RolloutLimits{Share: g.Rollout.Share, Slack: g.Rollout.Slack})
 		w.shard.SetStartWait(g.ArbiterWait)
--- a/internal/peer/front/worker.go
+++ b/internal/peer/front/worker.go
@@ -198,7 +198,7 @@
 		case shard.Grant:
 			w.send(d.ID, wire.Down{Grant: &wire.Grant{
 				Attempt: w.sessions[d.ID].attempt, ID: d.ID, Target: d.Target, WaitedMS: d.Waited.Milliseconds(),
-				RateCounted: d.RateCounted, OthersUsed: d.OthersUsed, Watch: d.Watch,
+				RateCounted: d.RateCounted, OthersUsed: d.OthersUsed, Watch: d.Watch, Resumption: d.Resumption,
 			}})
 		case shard.Refuse:
 			w.logRefusal(now, d)
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -43,6 +43,18 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
+// StreamID identifies a stream by the account and the id of the caller's request that began it.
+type StreamID uint64
+
+// Resumption says where a stream must go on.
+type Resumption struct {
+	// Stream is the stream that the caller resumes, 0 if the caller does not say or Version is known.
+	Stream StreamID `json:"stream,omitempty"`
+	// Version is the software version of the targets that began it. Bound is true if it is known.
+	Version object.Generation `json:"version,omitempty"`
+	Bound   bool              `json:"bound,omitempty"`
+}
+
 // Register registers a request with the arbiter. A front sends it for a new request, and again for
 // each unfinished request when the arbiter of the pool changes.
 type Register struct {
@@ -94,6 +106,10 @@
 	Moved bool `json:"moved,omitempty"`
 	// PrefixTokens holds the number of tokens of each prefix part in Prefixes. It is empty if unknown.
 	PrefixTokens []int `json:"prefix-tokens,omitempty"`
+	// Stream is the stream that the request begins, 0 if it is none that can be resumed. Resumption is set if it continues
+	// one.
+	Stream     StreamID    `json:"stream,omitempty"`
+	Resumption *Resumption `json:"resumption,omitempty"`
 }
 
 // Finish notifies the arbiter that a granted request has ended.
@@ -266,6 +282,9 @@
 	OthersUsed float64 `json:"others-used,omitempty"`
 	// Watch is true if a cause of the request is suspect or held, and the arbiter grants it nevertheless.
 	Watch bool `json:"watch,omitempty"`
+	// Resumption is set if the request continues a stream, with the version at which it must. Earlier builds grant such
+	// requests anywhere and leave it out.
+	Resumption *Resumption `json:"resumption,omitempty"`
 }
 
 // Refuse notifies the front that a waiting request will not be run.
--- a/internal/pool/shard/decision.go
+++ b/internal/pool/shard/decision.go
@@ -27,6 +27,8 @@
 	OthersUsed float64
 	// Watch is set if a prefix of the request is suspect or held.
 	Watch bool
+	// Resumption is set if the request continues a stream, with its version.
+	Resumption *wire.Resumption
 }
 
 // Refuse ends a waiting request.
--- a/internal/pool/shard/events.go
+++ b/internal/pool/shard/events.go
@@ -51,7 +51,7 @@
 	if q.Attempt <= 1 && !q.Moved && len(q.Avoid) == 0 {
 		s.quarantine.Arrived(q.causes) // Others have been counted before.
 	}
-	if s.refuseHeld(now, q) {
+	if s.refuseHeld(now, q) || !s.bindVersion(now, q) {
 		return
 	}
 	s.beginShareGrowth(now)
--- a/internal/pool/shard/isolate.go
+++ b/internal/pool/shard/isolate.go
@@ -12,8 +12,8 @@
 // heldRetryAfter is the retry hint of a request with a held cause. Its next attempt has no better chance.
 const heldRetryAfter = 30 * time.Second
 
-// isolate removes a waiting request from its queue until no other request with the same suspect prefix
-// is running.
+// isolate removes a waiting request from its queue until no other request with the same suspect cause is running, or until
+// a target of its version is free.
 func (s *Shard) isolate(q *request) {
 	s.dequeue(q)
 	q.isolated = true
@@ -39,6 +39,9 @@
 		switch {
 		case isHeld:
 			s.refuse(now, q, heldReason(cause))
+		case q.bound && s.openVersions[q.version] == 0:
+			s.refuse(now, q, outcome.StreamVersionGone)
+		case s.waitsForVersion(q):
 		case s.quarantine.MayGrant(now, q.causes):
 			s.dequeue(q)
 			s.enqueue(q)
@@ -69,11 +72,7 @@
 	if !isHeld {
 		return false
 	}
-	s.removeRequest(q)
-	s.countRefusal(q, heldReason(cause))
-	s.decisions = append(s.decisions, Refuse{
-		ID: q.ID, Tier: q.tier.name, Class: q.tier.class, Reason: heldReason(cause), RetryAfter: heldRetryAfter, MayRetry: q.MayRetry,
-	})
+	s.refuseUnqueued(q, heldReason(cause), heldRetryAfter)
 	return true
 }
 
--- a/internal/pool/shard/placement.go
+++ b/internal/pool/shard/placement.go
@@ -148,9 +148,11 @@
 	switch {
 	case free && t.readyIndex == notInHeap:
 		s.ready.push(t)
+		s.readyVersions[t.generation]++
 	case free:
 		s.ready.fix(t)
 	case t.readyIndex != notInHeap:
 		s.ready.remove(t)
+		s.readyVersions[t.generation]--
 	}
 }
--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -52,6 +52,9 @@
 	isolated bool
 	// suspect is set if a cause of the request was suspect or held when a target was last sought for it.
 	suspect bool
+	// version is that of the targets at which the request must continue a stream, if it is bound to one.
+	version object.Generation
+	bound   bool
 	// deferred is set while the request waits outside of the queues for a larger share of its quota.
 	deferred bool
 
@@ -134,6 +137,9 @@
 		s.targets[q.Target] = t
 	}
 	s.requests[q.ID] = q
+	if t.generation != "" || !t.closed {
+		s.recordOrigin(now, q, t)
+	}
 	s.startRunning(now, q, t)
 }
 
@@ -155,7 +161,7 @@
 // avoids reports whether the request must not run at a target. Two requests with suspect prefixes never share one: a
 // crash would not tell which of them caused it.
 func (q *request) avoids(t *target) bool {
-	return slices.Contains(q.Avoid, t.name) || q.suspect && t.suspects > 0
+	return slices.Contains(q.Avoid, t.name) || q.suspect && t.suspects > 0 || q.needsOther(t)
 }
 
 func (s *Shard) stopRunning(q *request) {
--- a/internal/pool/shard/rollout.go
+++ b/internal/pool/shard/rollout.go
@@ -77,8 +77,10 @@
 }
 
 // sideOf returns the side of the rollout that the target belongs to.
-func (r *rollout) sideOf(t *target) trial.Side {
-	if t.generation == r.spec.To {
+func (r *rollout) sideOf(t *target) trial.Side { return r.sideOfVersion(t.generation) }
+
+func (r *rollout) sideOfVersion(version object.Generation) trial.Side {
+	if version == r.spec.To {
 		return trial.NewVersion
 	}
 	return trial.OldVersion
@@ -102,6 +104,9 @@
 
 // placeByVersion picks a target during a rollout.
 func (s *Shard) placeByVersion(now time.Time, q *request) *target {
+	if q.bound {
+		return s.placeOn(now, q, s.rollout.sideOfVersion(q.version))
+	}
 	side := s.rollout.nextSide(now, q.tier.class)
 	if side == trial.NewVersion && !s.rollout.promoted() {
 		if t := s.placeTrial(now, q); t != nil {
--- a/internal/pool/shard/shard.go
+++ b/internal/pool/shard/shard.go
@@ -10,6 +10,7 @@
 
 	"redwinglock/internal/fleet/notice"
 	"redwinglock/internal/peer/wire"
+	"redwinglock/internal/pool/origin"
 	"redwinglock/internal/pool/quarantine"
 	"redwinglock/internal/pool/trial"
 	"redwinglock/internal/state/object"
@@ -45,7 +46,11 @@
 	// not run now because of it; they are in no queue.
 	quarantine *quarantine.Tracker
 	isolated   []*request
-	growth     shareGrowth
+	// origins knows which version began each stream. openVersions counts the targets of each version that accept work,
+	// readyVersions those that have free slots.
+	origins                     *origin.Table
+	openVersions, readyVersions map[object.Generation]int
+	growth                      shareGrowth
 	// notices holds what targets have reported about themselves.
 	notices      *notice.Book
 	drainRate    drainRate
@@ -95,6 +100,10 @@
 		prefixes: newPrefixMap(),
 		share:    Share{1, 1},
 
+		origins:       origin.NewTable(),
+		openVersions:  map[object.Generation]int{},
+		readyVersions: map[object.Generation]int{},
+
 		quarantine: quarantine.New(pool),
 		counts:     map[object.TierName]*Counts{},
 	}
@@ -149,7 +158,7 @@
 			t.tieBreak = s.tieBreakOf(spec.Name)
 			s.targets[spec.Name] = t
 		}
-		t.generation = spec.Generation
+		s.setGeneration(t, spec.Generation)
 		if t.startedMS != spec.StartedMS {
 			s.quarantine.TargetEnded(now, t.name)
 		}
@@ -178,6 +187,7 @@
 
 // updateTotalSlots counts the slots of the targets that accept work.
 func (s *Shard) updateTotalSlots() {
+	s.updateOpenVersions()
 	s.totalSlots = 0
 	for _, t := range s.targets {
 		if t.closed || t.pauseRequested {
--- a/internal/pool/shard/shard_test.go
+++ b/internal/pool/shard/shard_test.go
@@ -78,11 +78,11 @@
 func TestHigherTierIsGrantedFirst(t *testing.T) {
 	b := newBench(t, setup{targets: 1, slots: 1})
 	first, decisions := b.register("night", "big", 10)
-	require.Equal(t, []Decision{Grant{first, "engine-1", "night", 0, false, 0, false}}, decisions)
+	require.Equal(t, []Decision{Grant{first, "engine-1", "night", 0, false, 0, false, nil}}, decisions)
 	night, _ := b.register("night", "big", 10)
 	urgent, _ := b.register("urgent", "big", 10)
-	require.Equal(t, []Decision{Grant{urgent, "engine-1", "urgent", 0, false, 0, false}}, b.finish(first))
-	require.Equal(t, []Decision{Grant{night, "engine-1", "night", 0, false, 0, false}}, b.finish(urgent))
+	require.Equal(t, []Decision{Grant{urgent, "engine-1", "urgent", 0, false, 0, false, nil}}, b.finish(first))
+	require.Equal(t, []Decision{Grant{night, "engine-1", "night", 0, false, 0, false, nil}}, b.finish(urgent))
 }
 
 func TestWaitingHigherTierCancelsTheLatestLowerOne(t *testing.T) {
@@ -94,7 +94,7 @@
 	require.Empty(t, decisions)
 	require.Equal(t, []Decision{Cancel{later, "night"}}, b.advance(250*time.Millisecond))
 	require.Empty(t, b.advance(time.Second), "one cancellation for one waiting request")
-	require.Equal(t, []Decision{Grant{urgent, "engine-1", "urgent", 1250 * time.Millisecond, false, 0, false}}, b.finish(later))
+	require.Equal(t, []Decision{Grant{urgent, "engine-1", "urgent", 1250 * time.Millisecond, false, 0, false, nil}}, b.finish(later))
 }
 
 func TestHigherTierIsNotRefusedWhileLowerRuns(t *testing.T) {
@@ -185,7 +185,7 @@
 	require.Empty(t, decisions)
 	second, _ := b.register("urgent", "big", 10)
 	decisions = b.advance(minBackoff)
-	require.Equal(t, []Decision{Grant{retried, "engine-1", "urgent", minBackoff, false, 0, false}}, decisions, "a probed target gets one request at a time")
+	require.Equal(t, []Decision{Grant{retried, "engine-1", "urgent", minBackoff, false, 0, false, nil}}, decisions, "a probed target gets one request at a time")
 	require.Equal(t, second, b.finish(retried)[0].(Grant).ID)
 }
 
--- a/internal/pool/shard/step.go
+++ b/internal/pool/shard/step.go
@@ -47,7 +47,7 @@
 		if t == nil {
 			s.countHeldBack(q)
 		}
-		if t == nil && s.waitsForSuspects(q) {
+		if t == nil && (s.waitsForSuspects(q) || s.waitsForVersion(q)) {
 			s.isolate(q) // Other requests may use the free slots.
 			continue
 		}
@@ -77,9 +77,10 @@
 		s.takeRate(now, t)
 		watch := s.quarantine.Granted(now, q.ID, q.causes, t.name)
 		s.countCached(q, t)
+		s.recordOrigin(now, q, t)
 		s.startRunning(now, q, t)
 		s.prefixes.add(t, q.Prefixes)
-		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt), t.rateLimit > 0, othersUsed, watch})
+		s.decisions = append(s.decisions, Grant{q.ID, t.name, q.tier.name, now.Sub(q.queuedAt), t.rateLimit > 0, othersUsed, watch, q.resumption()})
 	}
 }
 
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -60,6 +60,8 @@
 	// prefixRecords holds the PrefixRecord of each pool.
 	prefixRecords sync.Map
 	burstRecord   atomic.Pointer[BurstRecord]
+	// origins holds the origin.Table of each pool, versionRecords its VersionRecord.
+	origins, versionRecords sync.Map
 
 	// joined is closed when this host has contacted the other hosts for the first time.
 	joined     chan struct{}
@@ -195,6 +197,7 @@
 			return false
 		}
 		if b.config.CompareAndSwap(current, next) {
+			b.serveVersions(next)
 			b.notify()
 			return true
 		}
@@ -344,3 +347,10 @@
 }
 
 func rendezvousHash(task, host string) uint64 { return digest.Of(host, task) }
+
+// IsArbiterOfDiscovered reports whether this host is the arbiter of the discovered pools.
+func (b *Board) IsArbiterOfDiscovered() bool {
+	members := b.Members()
+	owner := members.Owner(DiscoveredPools, nil, func(Member) bool { return true })
+	return b.HasJoined() && !b.Stopping() && owner.Name == members.Self.Name
+}
--- a/internal/state/object/snapshot.go
+++ b/internal/state/object/snapshot.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Snapshot is a validated and compiled set of objects. It is immutable, and a request uses
@@ -26,6 +27,8 @@
 	models           map[ModelName]*Model
 	routes           map[routeKey]*Route
 	rollouts         map[PoolName]*Rollout
+	// streamTimeouts holds the longest timeout of the resumable streams of each pool that has some.
+	streamTimeouts map[PoolName]time.Duration
 }
 
 // routeKey identifies a route by the host name and path prefix of its requests.
@@ -61,9 +64,11 @@
 		pools:            make(map[PoolName]*PoolView, len(c.pools)),
 		models:           c.models,
 		routes:           make(map[routeKey]*Route, len(c.routes)),
+		streamTimeouts:   map[PoolName]time.Duration{},
 	}
 	for _, r := range c.routes {
 		s.routes[routeKey{r.Host, r.PathPrefix}] = r
+		s.addStreamTimeout(r)
 	}
 	for hash, name := range c.accountNameByKeyHash {
 		s.accountByKeyHash[hash] = c.accounts[name]
@@ -131,6 +136,23 @@
 	return hex.EncodeToString(digest[:])
 }
 
+// StreamTimeout returns the longest timeout of the routes to a pool whose streams may be resumed, and false if there is no
+// such route.
+func (s *Snapshot) StreamTimeout(pool PoolName) (time.Duration, bool) {
+	timeout, found := s.streamTimeouts[pool]
+	return timeout, found
+}
+
+// addStreamTimeout records the timeout of a route for the pools to which its streams go.
+func (s *Snapshot) addStreamTimeout(r *Route) {
+	if !r.Resumable {
+		return
+	}
+	for _, p := range r.Pools {
+		s.streamTimeouts[p.Pool] = max(s.streamTimeouts[p.Pool], time.Duration(r.Timeout))
+	}
+}
+
 // AccountByKey returns the account of a bearer key, or nil. It looks up the digest of the
 // key, so that its timing reveals nothing about the stored keys.
 func (s *Snapshot) AccountByKey(key string) *Account { return s.accountByKeyHash[HashKey(key)] }
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -54,6 +54,8 @@
 	TargetsRateLimited    Reason = "targets-rate-limited"
 	PromptHeld            Reason = "prompt-held"
 	RequestHeld           Reason = "request-held"
+	StreamUnknown         Reason = "stream-unknown"
+	StreamVersionGone     Reason = "stream-version-gone"
 	TargetRefused         Reason = "target-refused"
 	TargetLost            Reason = "target-lost"
 	TargetSilent          Reason = "target-silent"
@@ -87,6 +89,8 @@
 	TargetsRateLimited:    http.StatusServiceUnavailable,
 	PromptHeld:            http.StatusServiceUnavailable,
 	RequestHeld:           http.StatusServiceUnavailable,
+	StreamUnknown:         http.StatusServiceUnavailable,
+	StreamVersionGone:     http.StatusServiceUnavailable,
 	TargetRefused:         http.StatusBadGateway,
 	TargetLost:            http.StatusBadGateway,
 	TargetSilent:          http.StatusGatewayTimeout,
