--- a/internal/control/streamorigin/controller.go
+++ b/internal/control/streamorigin/controller.go
@@ -25,7 +25,7 @@
 
 const (
 	// writeInterval is the time between two writes of new streams.
-	writeInterval = 100 * time.Millisecond
+	writeInterval = 200 * time.Millisecond
 	// retryDelay is the time after a failed write, and the minimum time between two writes of the versions of a pool. In
 	// it, this host reads what it has written.
 	retryDelay = time.Second
