Soak: a request that returns and crashes each target that runs it

The crash tells which request it was, so that both kinds are counted apart. Three rows of TestChecksDetectViolations show what the check sees and what it allows.

--- a/internal/bench/soak/checks.go
+++ b/internal/bench/soak/checks.go
@@ -26,6 +26,7 @@
 	{"the retry budget holds", checkRetryBudget},
 	{"rate limits of targets hold", checkRateLimits},
 	{"prompts that crash targets are held back", checkPoison},
+	{"a request that crashes targets is held back", checkReturning},
 	{"hosts without a fault answer what they passed on", checkLostAnswers},
 	{"planned stops cut nothing", checkPlannedStops},
 	{"work ends when the caller disconnects or the timeout expires", checkCancellation},
--- a/internal/bench/soak/checks_test.go
+++ b/internal/bench/soak/checks_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// addReturning records three crashes by one request, and runs of it from a time after the last of them.
+func (r *Record) addReturning(runs, afterMS int) {
+	for i := range freeRequestCrashes {
+		r.recordCrash(at(100*i), standin.Run{Crashes: true})
+	}
+	for i := range runs {
+		_, run := r.add("look", fmt.Sprint("returning-", i), 100*(freeRequestCrashes-1)+afterMS+i)
+		run.Crashes = true
+	}
+}
+
 func TestChecksDetectViolations(t *testing.T) {
 	cut := errors.New("connection reset")
 	rows := []struct {
@@ -129,6 +140,9 @@
 				}
 			}
 		}, "more targets than"},
+		{"a request returns after three crashes", func(r *Record) { r.addReturning(4, 4000) }, "arrived later than"},
+		{"a request returns in the time that a host has", func(r *Record) { r.addReturning(8, 2000) }, ""},
+		{"a request returns three times", func(r *Record) { r.addReturning(3, 4000) }, ""},
 		{"work for a drained target", func(r *Record) { r.add("book", "1", 5000); r.drainedAt["target-1"] = at(2000) }, "after it drained"},
 		{"work for a draining target", func(r *Record) { r.add("book", "1", 3000); r.drainedAt["target-1"] = at(2000) }, ""},
 		{"work for a drained target from a disconnected host", func(r *Record) {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -209,7 +209,7 @@
 		s.record.recordViolation(err.Error())
 		return
 	}
-	t.OnPoison(func() { s.crashByRequest(t) })
+	t.OnCrash(func(r standin.Run) { s.crashByRequest(t, r) })
 	s.activeTargets = append(s.activeTargets, t)
 }
 
--- a/internal/bench/soak/record.go
+++ b/internal/bench/soak/record.go
@@ -62,8 +62,9 @@
 	targetFaults map[string][]interval
 	// drainedAt is the time at which the store acknowledged that a target drains.
 	drainedAt map[string]time.Time
-	// poisonCrashes are the times at which requests with the poison part crashed targets.
-	poisonCrashes []time.Time
+	// poisonCrashes are the times at which requests with the poison part crashed targets, requestCrashes those at which the
+	// request that returns did.
+	poisonCrashes, requestCrashes []time.Time
 	// olderHosts is set if some hosts run an older build.
 	olderHosts bool
 	// versions are the configurations in the order in which the store acknowledged them.
@@ -152,9 +153,14 @@
 	r.drainedAt[target] = time.Now()
 }
 
-func (r *Record) recordPoisonCrash(at time.Time) {
+// recordCrash records that a run has crashed its target.
+func (r *Record) recordCrash(at time.Time, run standin.Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if run.Crashes {
+		r.requestCrashes = append(r.requestCrashes, at)
+		return
+	}
 	r.poisonCrashes = append(r.poisonCrashes, at)
 }
 
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -157,6 +157,7 @@
 	}
 	load.Go(func() { s.watchStalls(ctx) })
 	load.Go(func() { s.sendPoison(ctx) })
+	load.Go(func() { s.sendReturning(ctx) })
 	start := time.Now()
 	s.background.Go(func() { s.runRateLimits(start) })
 	s.background.Go(func() { s.runRestores(start) })
