Soak: targets of several versions, and callers that take streams up

Callers now continue a broken resumable stream up to three times and name the attempt that began it; in half of the runs targets have three versions, and one that replaces another has the next one, so that versions return. The check follows a stream over one answer and over its caller's attempts; two may be joined, as the promise allows. A run counts only if its target has sent an event: a stream that breaks before its first one may go anywhere. Four rows of TestChecksDetectViolations show what the check sees and what it allows.

--- a/internal/bench/soak/checks.go
+++ b/internal/bench/soak/checks.go
@@ -15,6 +15,7 @@
 }{
 	{"answers are complete, unchanged and belong to their request", checkAnswers},
 	{"events are complete and in order", checkEvents},
+	{"streams go on at the version that began them", checkVersions},
 	{"targets get what callers sent", checkRequests},
 	{"non-idempotent requests run at most once", checkSingleExecution},
 	{"refused requests have not run", checkRefusals},
@@ -86,12 +87,12 @@
 			broken = append(broken, fmt.Sprintf("event %q: %s", a.BadEvent, describe(a)))
 		}
 		for i, number := range a.Events {
-			if number != i+1 {
-				broken = append(broken, fmt.Sprintf("event %d instead of %d: %s", number, i+1, describe(a)))
+			if expected := a.After + i + 1; number != expected {
+				broken = append(broken, fmt.Sprintf("event %d instead of %d: %s", number, expected, describe(a)))
 				break
 			}
 		}
-		if expected := standin.Events(a.Kind.OutputTokens, r.tokensPerEvent); a.Whole && len(a.Events) != expected {
+		if expected := standin.Events(a.Kind.OutputTokens, r.tokensPerEvent) - a.After; a.Whole && len(a.Events) != expected {
 			broken = append(broken, fmt.Sprintf("complete after %d of %d events: %s", len(a.Events), expected, describe(a)))
 		}
 	}
--- a/internal/bench/soak/checks_test.go
+++ b/internal/bench/soak/checks_test.go
@@ -88,6 +88,25 @@
 	}
 }
 
+// addJoined records streams that version 1 begins and another one continues, in the same answer or for another attempt.
+func (r *Record) addJoined(count int, isTakenUp bool, version string) {
+	for i := range count {
+		id := fmt.Sprint("joined-", i)
+		first, run := r.add("plan", id, 0)
+		run.Version, run.Complete, run.Events = "1", false, 3
+		first.Events, first.Whole = first.Events[:3], false
+		if !isTakenUp {
+			later := *run
+			later.Version, later.Target = version, "target-2"
+			r.runs = append(r.runs, later)
+			continue
+		}
+		second, later := r.add("plan", id+"-up", 100)
+		later.Version, later.Target, later.After, later.Events = version, "target-2", 3, 3
+		second.Resumes, second.After, second.Events = id, 3, second.Events[3:]
+	}
+}
+
 // addReturning records three crashes by one request, and runs of it from a time after the last of them.
 func (r *Record) addReturning(runs, afterMS int) {
 	for i := range freeRequestCrashes {
@@ -143,6 +162,10 @@
 		{"a request returns after three crashes", func(r *Record) { r.addReturning(4, 4000) }, "arrived later than"},
 		{"a request returns in the time that a host has", func(r *Record) { r.addReturning(8, 2000) }, ""},
 		{"a request returns three times", func(r *Record) { r.addReturning(3, 4000) }, ""},
+		{"streams of two versions in one answer", func(r *Record) { r.addJoined(3, false, "2") }, "goes on as"},
+		{"streams of two versions over two attempts", func(r *Record) { r.addJoined(3, true, "2") }, "goes on as"},
+		{"streams of one version over two attempts", func(r *Record) { r.addJoined(3, true, "1") }, ""},
+		{"two streams of two versions", func(r *Record) { r.addJoined(2, true, "2") }, ""},
 		{"work for a drained target", func(r *Record) { r.add("book", "1", 5000); r.drainedAt["target-1"] = at(2000) }, "after it drained"},
 		{"work for a draining target", func(r *Record) { r.add("book", "1", 3000); r.drainedAt["target-1"] = at(2000) }, ""},
 		{"work for a drained target from a disconnected host", func(r *Record) {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -204,6 +204,7 @@
 	s.targetCount++
 	spec.ID = fmt.Sprintf("target-%d", s.targetCount)
 	spec.Zone = site.Zone(s.targetCount)
+	spec.Version = versionOf(s.options.Seed, s.targetCount)
 	t, err := s.site.AddTarget(spec)
 	if err != nil {
 		s.record.recordViolation(err.Error())
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -159,6 +159,7 @@
 	for _, k := range kinds {
 		kind := *k
 		kind.Host, kind.Path = callersHost, "/"+k.Name+"/x"
+		kind.Resumable = isResumable(k)
 		if kind.Key == "" {
 			kind.Key = mainKey
 		}
@@ -167,6 +168,11 @@
 	return completed
 }
 
+// isResumable reports whether the streams of a kind may go on at another target.
+func isResumable(k *standin.Kind) bool {
+	return k.IsStream() && k.Name != "once" && k.Name != longKind
+}
+
 // probePath returns the path of the route that exists only in the given version of the
 // configuration.
 func probePath(number int64) string { return fmt.Sprintf("/probe-%d/x", number) }
@@ -212,7 +218,7 @@
 		route := standin.Route{
 			Name: "route-" + k.Name, Host: callersHost, PathPrefix: "/" + k.Name + "/", Kind: k.Execution, TimeoutMS: k.Deadline.Milliseconds(),
 			TargetLatencyMS: k.Objective.Milliseconds(), GapTargetMS: k.Gap.Milliseconds(), Priority: k.Priority, Service: k.Service,
-			MaxAttempts: 3, StreamResume: k.IsStream() && k.Name != "once" && k.Name != longKind,
+			MaxAttempts: 3, StreamResume: isResumable(k),
 		}
 		if k.Name == slowKind {
 			route.TimeoutMS = slowTimeout.Milliseconds()
