--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -304,6 +304,9 @@
 		"outcome": failure.Outcome, "reason": failure.Reason, "retry-after": failure.RetryAfter.String(),
 		"pool": r.pool, "age": time.Since(r.arrived).String(), "tried": r.tried, "detail": failure.Message,
 	}).WithFields(s.stop.logFields(r))
+	if r.info.LastEventID != "" {
+		log = log.WithField("resumes", r.info.Resumes)
+	}
 	if r.possibleRuns > 0 {
 		log = log.WithField("request-digest", r.fingerprint().String()) // Tells whether one request returns.
 	}
