Shard: a running stream of a removed target has no known version, by its branch

Reading the diff: the condition under which a moved stream is recorded (a version, or a target that is open) did not say what it meant: a target that was removed from the configuration is created anew without a version. The record moves into the other branch. No change of behaviour: TestNewArbiterLearnsTheVersionsOfRunningStreams and the other tests of streams and new arbiters pass.

--- a/internal/pool/shard/request.go
+++ b/internal/pool/shard/request.go
@@ -135,11 +135,10 @@
 		t = newTarget(&object.Target{Name: q.Target, Slots: object.DefaultSlots}, object.EnginePool)
 		t.closed = true
 		s.targets[q.Target] = t
-	}
-	s.requests[q.ID] = q
-	if t.generation != "" || !t.closed {
+	} else {
 		s.recordOrigin(now, q, t)
 	}
+	s.requests[q.ID] = q
 	s.startRunning(now, q, t)
 }
 
